--- /dev/null
+++ b/mallowlug/compose.py
@@ -0,0 +1,115 @@
+"""The composition root: one relay put together from the core and its adapters, from start to exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from mallowlug import config
+from mallowlug.core.journal import Journal
+from mallowlug.core.ports import Front, Plugs
+from mallowlug.core.relay import Driver
+from mallowlug.directory.discovery import Watch
+from mallowlug.ends.notices import Notices
+from mallowlug.fronts.resp2 import Server
+from mallowlug.partners.http_calls import Hosts
+
+LOG = logging.getLogger("mallowlug")
+SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
+LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
+LOOK_S = 0.02  # s between looks whether a shutdown is complete
+
+
+def plugs_of(cfg: config.Config) -> Plugs:
+    """The platform's adapters, bound to what the configuration tells."""
+    return Plugs(
+        partners=lambda settled: Hosts(
+            cfg.settings.kinds, cfg.settings.keepalive_us, cfg.connect_timeout_us, cfg.sockets // 4, settled
+        ),
+        directory=lambda told, failed: Watch(cfg.discovery, cfg.known.seq, told, failed),
+        ends=lambda confirmed: Notices(cfg.discovery, confirmed),
+    )
+
+
+async def serve(cfg: config.Config) -> int:
+    """Run until SIGTERM or until the step loop breaks; the exit code."""
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[int] = loop.create_future()
+    journal = Journal(cfg.state, cfg.disk_bytes)
+
+    def crashed(_error: BaseException) -> None:
+        if not ended.done():
+            ended.set_result(1)
+
+    driver = Driver(
+        settings=cfg.settings,
+        seed=cfg.seed,
+        known=cfg.known,
+        journal=journal,
+        plugs=plugs_of(cfg),
+        crashed=crashed,
+    )
+    front = Server(driver, cfg.listen, cfg.sockets // 2)
+    terminated = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, terminated.set)
+    # Until the process is gone, also while it shuts down: a signal without a handler would end it.
+    loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg)
+    driver.start()
+    gc.freeze()  # modules and settings stay: going through them at each collection took a quarter of the CPU
+    await front.start()
+    LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
+    stop = loop.create_task(shut_down(terminated, driver, front))
+    both: set[asyncio.Future[Any]] = {stop, ended}
+    await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+    front.close()
+    driver.close()
+    journal.close()
+    if ended.done():
+        return ended.result()
+    stop.result()
+    return 0
+
+
+def reload(driver: Driver, started: config.Config) -> None:
+    """SIGHUP: read the file again and go to the discovery that it names; what cannot be used changes nothing.
+
+    The rest of the file binds journal, limits and the module's memory, and counts from the next start.
+    """
+    try:
+        cfg = config.load(os.environ, reloading=True)
+    except config.ConfigError as error:
+        LOG.error("SIGHUP: the old configuration stays: %s", error)
+        return
+    LOG.info("SIGHUP: discovery at %s:%d", *cfg.discovery)
+    if (cfg.settings, cfg.listen) != (started.settings, started.listen):
+        LOG.warning("SIGHUP: changed settings and addresses other than discovery's wait for the next start")
+    driver.move(cfg.discovery)
+
+
+async def shut_down(terminated: asyncio.Event, driver: Driver, front: Front) -> None:
+    """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
+
+    A connection that ends with a request unanswered loses a message. So connections are closed while the
+    server still listens: a request that crosses the close comes again on a new one and gets its answer.
+    """
+    await terminated.wait()
+    LOG.info("SIGTERM: shutting down")
+    start_s = asyncio.get_running_loop().time()
+    driver.shut_down(start_s + LAST_S)
+    await until(start_s + SERVE_S, lambda: not front.clients and driver.idle, start_s + 0.5)
+    front.end_clients()
+    await until(start_s + LAST_S, lambda: not front.clients and driver.idle, start_s + SERVE_S + 0.3)
+    LOG.info("SIGTERM: shut down")
+
+
+async def until(last_s: float, done: Callable[[], bool], first_s: float) -> None:
+    """Wait until it is done, between two times."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < last_s and not (loop.time() >= first_s and done()):
+        await asyncio.sleep(LOOK_S)
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from mallowlug.discovery import HostList, read_list
-from mallowlug.http import Address
-from mossfront.drill import settings_of, whole
+from mallowlug.core.model import Address, HostList
+from mallowlug.directory.discovery import read_list
 from mossfront.interface import Settings
+from mossfront.settings import settings_of, whole
 
 LOG = logging.getLogger(__name__)
 OVERRULED = "overruled"  # file in the lasting folder: the ROUTER_DISCOVERY that a reload has put aside
--- /dev/null
+++ b/mallowlug/core/model.py
@@ -0,0 +1,118 @@
+"""What the core and its ports exchange: plain values, no I/O and no protocol's words."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+from mossfront.interface import Entry, Verdict
+
+Address = tuple[str, int]
+
+
+class Clock:
+    """Wall time that never jumps within one life: deadlines and attempts in the journal go by it."""
+
+    def __init__(self) -> None:
+        self._offset_us = (time.time_ns() - time.monotonic_ns()) // 1000
+
+    def __call__(self) -> int:
+        """Microseconds since the epoch."""
+        return time.monotonic_ns() // 1000 + self._offset_us
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """A message as a client hands it in; ``deadline_us`` is wall time."""
+
+    id: str
+    dest: int
+    cls: str
+    deadline_us: int
+    tenant: str = ""
+    order: str = ""
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The message is journaled: the relay owes its end, and nobody is to hand it in again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing was kept; handing it in again after so many milliseconds is harmless."""
+
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Nothing was kept, and handing it in again unchanged is of no use."""
+
+    reason: str
+
+
+Answer = Taken | Refused | Failed
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """An endpoint with the address under which this relay reaches it."""
+
+    entry: Entry
+    dial: Address
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """One piece of news: the whole list, or what changed."""
+
+    seq: int
+    whole: bool
+    hosts: tuple[Listed, ...]
+
+
+@dataclass(slots=True, eq=False)
+class Part:
+    """One message's attempt within a call; ``limit_us`` is how long it may take from now."""
+
+    id: str
+    attempt: int
+    key: str
+    body: bytes
+    limit_us: int
+    settled: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call: an endpoint and the parts that travel together; ``sent_s`` is monotonic time."""
+
+    host: str
+    parts: list[Part]
+    sent_s: float
+
+    @property
+    def open(self) -> list[Part]:
+        """The parts that have no outcome yet."""
+        return [part for part in self.parts if not part.settled]
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """How a part ended and what the partner said beside it."""
+
+    verdict: Verdict
+    complete: bool = False
+    wait_us: int = 0
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """The end of a message that was not delivered: ``dead`` (failed) or ``bounced`` (refused)."""
+
+    ref: str
+    result: str
+    wait_ms: int = 0
--- a/mallowlug/relay.py
+++ b/mallowlug/core/relay.py
@@ -15,42 +15,27 @@
 from itertools import islice
 from typing import Any
 
-from mallowlug.config import Config
-from mallowlug.discovery import HostList, Notice, Notices, Watch
-from mallowlug.hosts import Call, Hosts, Part, Told
-from mallowlug.http import Address
-from mallowlug.journal import Attempt, Journal, JournalFullError, Recovered
+from mallowlug.core.journal import Attempt, Journal, JournalFullError, Recovered
+from mallowlug.core.model import (
+    Address,
+    Answer,
+    Call,
+    Clock,
+    Failed,
+    Handed,
+    HostList,
+    Notice,
+    Part,
+    Refused,
+    Taken,
+    Told,
+)
+from mallowlug.core.ports import Plugs
 from mossfront import Relay as Module
 from mossfront import interface as api
 
 LOG = logging.getLogger(__name__)
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
-
-
-class Clock:
-    """Wall time that never jumps within one life: deadlines and attempts in the journal go by it."""
-
-    def __init__(self) -> None:
-        self._offset_us = (time.time_ns() - time.monotonic_ns()) // 1000
-
-    def __call__(self) -> int:
-        """Microseconds since the epoch."""
-        return time.monotonic_ns() // 1000 + self._offset_us
-
-
-@dataclass(frozen=True, slots=True)
-class Handed:
-    """A message as a client hands it in; ``deadline_us`` is wall time."""
-
-    id: str
-    dest: int
-    cls: str
-    deadline_us: int
-    tenant: str = ""
-    order: str = ""
-    key: str = ""
-
-
 FIELDS = [field.name for field in fields(Handed)]
 
 
@@ -64,21 +49,24 @@
 
 
 class Driver:
-    """One relay's loop of steps between the sockets and the module."""
-
-    def __init__(self, config: Config, journal: Journal, crashed: Callable[[BaseException], None]) -> None:
-        self._set, self._journal, self._crashed = config.settings, journal, crashed
+    """One relay's loop of steps between its ports and the module."""
+
+    def __init__(
+        self,
+        *,
+        settings: api.Settings,
+        seed: int,
+        known: HostList,
+        journal: Journal,
+        plugs: Plugs,
+        crashed: Callable[[BaseException], None],
+    ) -> None:
+        self._set, self._journal, self._crashed = settings, journal, crashed
         self.clock = Clock()
-        self._module = Module(config.settings, config.seed)
-        self._hosts = Hosts(
-            config.settings.kinds,
-            config.settings.keepalive_us,
-            config.connect_timeout_us,
-            config.sockets // 4,
-            self._settled,
-        )
-        self._watch = Watch(config.discovery, config.known.seq, self._listed, self._unlisted)
-        self._notices = Notices(config.discovery, self._confirmed)
+        self._module = Module(settings, seed)
+        self._partners = plugs.partners(self._settled)
+        self._directory = plugs.directory(self._listed, self._unlisted)
+        self._ends = plugs.ends(self._confirmed)
         self._held: dict[str, Held] = {}  # messages that owe their end to the module
         self._over: OrderedDict[str, None] = OrderedDict()
         self._inbox: list[api.Event] = []
@@ -86,13 +74,13 @@
         self._wake: asyncio.TimerHandle | None = None  # the last that was asked for; the module asks again
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
-        self._classes = {cls.name: cls for cls in config.settings.classes}
+        self._classes = {cls.name: cls for cls in settings.classes}
         self._dests: set[int] = set()  # destinations that the list has named
-        self._known = config.known
+        self._known = known
 
     def start(self) -> None:
         """Take up what the last life left, then follow the list; called before clients are answered."""
-        self._notices.start()
+        self._ends.start()
         self._listed(self._known, api.RosterKind.CACHED)
         now_us = self.clock()
         for message in self._journal.recovered.values():
@@ -104,8 +92,8 @@
 
     def move(self, discovery: Address) -> None:
         """The platform is to be found at another address from now on."""
-        self._watch.move(discovery)
-        self._notices.move(discovery)
+        self._directory.move(discovery)
+        self._ends.move(discovery)
 
     def shut_down(self, stop_s: float) -> None:
         """From now on only calls are started that end by then; the rest stays in the journal."""
@@ -116,49 +104,50 @@
         for timer in (self._timer, self._wake):
             if timer is not None:
                 timer.cancel()
-        self._watch.close()
-        self._notices.close()
-        self._hosts.close()
+        self._directory.close()
+        self._ends.close()
+        self._partners.close()
 
     @property
     def idle(self) -> bool:
         """Whether no call is out and no notice is unconfirmed."""
-        return not self._hosts.calls and not self._notices.owed and not self._inbox
+        return not self._partners.busy and not self._ends.owed and not self._inbox
 
     @property
-    def busy_ms(self) -> int:
-        """When a refused client is to come back."""
-        return self._set.max_retry_after_us // 1000
+    def refusal(self) -> Refused:
+        """A refusal at the door, with when to come back."""
+        return Refused(self._set.max_retry_after_us // 1000)
 
-    def check(self, handed: Handed) -> None:
-        """``ValueError`` where the settings have no place for a message; the module would drop it unseen."""
-        cls = self._classes.get(handed.cls)
-        if cls is None:
-            raise ValueError("unknown class")
-        if cls.effect is api.Effect.KEYED and not handed.key:
-            raise ValueError("k is missing")
-
-    def knows(self, dest: int) -> bool:
-        """Whether a host of the destination was ever listed; all are, as long as there is no list."""
-        return not self._dests or dest in self._dests
+    def hand_in(self, handed: Handed, body: bytes) -> Answer:
+        """Take a message on, journaled, or say why not; then nothing was kept.
 
-    def accept(self, handed: Handed, body: bytes) -> bool:
-        """Take a message on, journaled; False where there is no room, and nothing was kept.
-
-        An id that is known is the same request once more, on a new connection: it is taken on already.
+        An id that is known is the same request once more, on a new connection: it is taken on already. A
+        destination that nobody lists is refused: the list is seconds late, so it may be known when the client
+        comes again; taken on, its message would be held in vain. Without any list all are known.
         """
+        if reason := self._misfit(handed):
+            return Failed(reason)
+        if self._dests and handed.dest not in self._dests:
+            return self.refusal
         if handed.id in self._held or handed.id in self._over:
-            return True
+            return Taken()
         if len(self._held) >= self._set.hold_cap:
-            return False
+            return self.refusal
         try:
             self._journal.accept(handed.id, {name: getattr(handed, name) for name in FIELDS}, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error)
-            return False
+            return self.refusal
         self._held[handed.id] = Held(handed, body)
         self._post(self._arrival(handed, self.clock()))
-        return True
+        return Taken()
+
+    def _misfit(self, handed: Handed) -> str:
+        """Why the settings have no place for a message, which the module would drop unseen; else empty."""
+        cls = self._classes.get(handed.cls)
+        if cls is None:
+            return "unknown class"
+        return "k is missing" if cls.effect is api.Effect.KEYED and not handed.key else ""
 
     def _arrival(self, handed: Handed, now_us: int, **former: Any) -> api.Arrival:
         left_us = handed.deadline_us - now_us
@@ -170,7 +159,7 @@
         An attempt without a proof that it never ran may have run, also one that was out at the end.
         """
         if message.notice is not None:
-            self._notices.send(Notice(message.id, *message.notice))
+            self._ends.send(Notice(message.id, *message.notice))
             return
         try:
             handed = Handed(**message.fields)
@@ -179,7 +168,7 @@
             handed = None
         if handed is None or handed.cls not in self._classes:  # another version's or another site's
             self._journal.end(message.id, "dead", 0)
-            self._notices.send(Notice(message.id, "dead"))
+            self._ends.send(Notice(message.id, "dead"))
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
         self._held[message.id] = Held(handed, message.body, attempts)
@@ -191,7 +180,7 @@
 
     def _listed(self, news: HostList, kind: api.RosterKind | None = None) -> None:
         """News of the list binds calls at once and the module with its next step."""
-        self._hosts.apply(news)
+        self._partners.apply(news)
         self._dests |= {listed.entry.dest for listed in news.hosts}
         kind = kind or (api.RosterKind.WHOLE if news.whole else api.RosterKind.CHANGES)
         self._post(api.Roster(kind, tuple(listed.entry for listed in news.hosts)))
@@ -269,11 +258,11 @@
                 case api.Fail():
                     self._give_up(Notice(action.id, "dead"))
                 case api.CloseIdle():
-                    self._hosts.close_idle(action.host)
+                    self._partners.close_idle(action.host)
                 case api.Cancel():
-                    self._hosts.cancel(action.id, action.attempt)
+                    self._partners.cancel(action.id, action.attempt)
                 case api.Subscribe():
-                    self._watch.subscribe()
+                    self._directory.subscribe()
                 case api.Wake():
                     loop = asyncio.get_running_loop()
                     if self._wake is not None:
@@ -292,19 +281,19 @@
             return
         self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._remember(notice.ref)
-        self._notices.send(notice)
+        self._ends.send(notice)
 
     def _send(self, host: str, batch: list[api.Send]) -> None:
         """Sends of one step to one host share calls up to the kind's bound, journaled before any byte."""
         rest = iter(batch)
-        while chunk := list(islice(rest, self._hosts.batch(host))):
+        while chunk := list(islice(rest, self._partners.batch(host))):
             chunk = [send for send in chunk if send.id in self._held and self._can_end(send)]
             parts, tries, now_us = [], [], self.clock()
             for send in chunk:
                 held = self._held[send.id]
                 number, held.attempts = held.attempts, held.attempts + 1
                 parts.append(Part(send.id, number, held.handed.key, held.body, send.limit_us))
-                tries.append((send.id, Attempt(number, host, self._hosts.zone(host), now_us)))
+                tries.append((send.id, Attempt(number, host, self._partners.zone(host), now_us)))
             if not parts:
                 continue
             call = Call(host, parts, time.monotonic())
@@ -315,7 +304,7 @@
                 for part in parts:
                     self._settled(call, part, Told(api.Verdict.NOT_SENT))
                 continue
-            self._hosts.send(call)
+            self._partners.send(call)
 
     def _can_end(self, send: api.Send) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
--- /dev/null
+++ b/mallowlug/ends/notices.py
@@ -0,0 +1,109 @@
+"""Notices, the platform's way to hear of messages that were not delivered."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from contextlib import suppress
+
+from mallowlug.core.model import Address, Notice
+from mallowlug.net.http import FAULTS, Connection
+
+LOG = logging.getLogger(__name__)
+NOTICES = "/v1/notices"
+MOST_LINE = 1 << 20  # bytes of an answer, which means nothing
+POST_S = (0.25, 1.0)  # s for the answer to a notice, which is given at once: at first, and at most
+WORKERS, MOST_NOTICES = 3, 64  # posts out at once, so that a hanging one delays no other; lines in a post
+AGAIN_S = (0.02, 0.5)  # s before a post is repeated: at first, and at most
+
+
+def line_of(notice: Notice) -> bytes:
+    """The notice as the platform reads it: one JSON object and a newline."""
+    told: dict[str, str | int] = {"ref": notice.ref, "result": notice.result}
+    if notice.wait_ms > 0:
+        told["wait_ms"] = notice.wait_ms
+    return json.dumps(told, separators=(",", ":")).encode() + b"\n"
+
+
+class Notices:
+    """Posts each notice until the platform confirms it; it is answered also while discovery is down."""
+
+    def __init__(self, address: Address, confirmed: Callable[[str], None]) -> None:
+        self._address, self._confirmed = address, confirmed
+        self._queue: asyncio.Queue[Notice] = asyncio.Queue()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.owed = 0
+
+    def start(self) -> None:
+        """Begin to post."""
+        self._tasks = [asyncio.create_task(self._work()) for _ in range(WORKERS)]
+
+    def move(self, address: Address) -> None:
+        """Post to another address from now on, also what the old one has not confirmed."""
+        self._address = address
+
+    def send(self, notice: Notice) -> None:
+        """Post it as soon as may be."""
+        self.owed += 1
+        self._queue.put_nowait(notice)
+
+    def close(self) -> None:
+        """Stop; what is not confirmed stays in the journal."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _work(self) -> None:
+        connection: Connection | None = None
+        while True:
+            batch = [await self._queue.get()]
+            with suppress(asyncio.QueueEmpty):
+                while len(batch) < MOST_NOTICES:
+                    batch.append(self._queue.get_nowait())
+            again_s, post_s = AGAIN_S[0], POST_S[0]
+            while batch:
+                connection, status = await self._post(connection, batch, post_s)
+                if status == 204:
+                    self._done(batch)
+                    batch = []
+                elif status == 400 and len(batch) > 1:  # one bad line must not hold up the others
+                    for notice in batch[1:]:
+                        self._queue.put_nowait(notice)
+                    batch = batch[:1]
+                else:
+                    if status == 400:
+                        LOG.error("notice for %s was not understood", batch[0].ref)
+                    await asyncio.sleep(again_s)
+                    again_s, post_s = min(2 * again_s, AGAIN_S[1]), min(2 * post_s, POST_S[1])
+
+    def _done(self, batch: list[Notice]) -> None:
+        for notice in batch:
+            self.owed -= 1
+            self._confirmed(notice.ref)
+
+    async def _post(
+        self, connection: Connection | None, batch: list[Notice], post_s: float
+    ) -> tuple[Connection | None, int]:
+        """One post; the connection if it can serve again, and the status (0: none came)."""
+        try:
+            async with asyncio.timeout(post_s):
+                if connection is None or connection.address != self._address or not connection.quiet():
+                    if connection is not None:
+                        connection.close()
+                    connection = await Connection.open(self._address)
+                body = b"".join(line_of(notice) for notice in batch)
+                await connection.send(connection.request("POST", NOTICES, [], body))
+                status = (await connection.answer()).status_code
+                await connection.body(MOST_LINE)
+            if connection.reusable():
+                return connection, status
+        except (*FAULTS, TimeoutError) as error:
+            LOG.info("notices: post of %d failed: %r", len(batch), error)
+            status = 0
+        except Exception:  # a worker that dies would hold back every later notice
+            LOG.exception("notices: post broke")
+            status = 0
+        if connection is not None:
+            connection.close()
+        return None, status
--- a/mallowlug/clients.py
+++ b/mallowlug/fronts/resp2.py
@@ -8,7 +8,8 @@
 import socket
 from collections import OrderedDict
 
-from mallowlug.relay import Driver, Handed
+from mallowlug.core.model import Address, Answer, Handed, Refused, Taken
+from mallowlug.core.ports import Intake
 
 LOG = logging.getLogger(__name__)
 MOST_BODY = 64 * 1024
@@ -244,8 +245,8 @@
     with a part of a request, and those that wait between requests.
     """
 
-    def __init__(self, driver: Driver, most: int) -> None:
-        self._driver, self.most = driver, most
+    def __init__(self, core: Intake, address: Address, most: int) -> None:
+        self._core, self._address, self.most = core, address, most
         self.buffer = memoryview(bytearray(READ))
         self.silent: OrderedDict[Client, float] = OrderedDict()  # by when they connected
         self.asking: OrderedDict[Client, float] = OrderedDict()  # by when their request began
@@ -259,9 +260,9 @@
         """How many connections there are."""
         return len(self.silent) + len(self.asking) + len(self.idle)
 
-    async def start(self, address: tuple[str, int]) -> None:
+    async def start(self) -> None:
         """Begin to listen; the journal must have been replayed by then."""
-        loop = asyncio.get_running_loop()
+        loop, address = asyncio.get_running_loop(), self._address
         # The loop takes on as many connections in one turn as its backlog has room for, before any is counted
         # here: a burst would use up the descriptors. The kernel's own backlog stays long.
         sock = socket.create_server(address, family=socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
@@ -338,12 +339,18 @@
         if command != b"ENQUEUE":
             return b"-ERR unknown command\r\n"
         try:
-            handed, body = handed_of(request, self._driver.clock())
-            self._driver.check(handed)
+            handed, body = handed_of(request, self._core.clock())
         except ValueError as error:
             return b"-ERR %s\r\n" % str(error).encode()
-        # A destination that nobody lists: the list is seconds late, so it may be known when the client comes
-        # again. Taken on, its message would be held in vain.
-        if self.refusing or not self._driver.knows(handed.dest) or not self._driver.accept(handed, body):
-            return b"-BUSY %d\r\n" % self._driver.busy_ms
+        if self.refusing:
+            return said(self._core.refusal)
+        return said(self._core.hand_in(handed, body))
+
+
+def said(answer: Answer) -> bytes:
+    """The core's answer in a client's words."""
+    if isinstance(answer, Taken):
         return b"+OK\r\n"
+    if isinstance(answer, Refused):
+        return b"-BUSY %d\r\n" % answer.wait_ms
+    return b"-ERR %s\r\n" % answer.reason.encode()
--- /dev/null
+++ b/mallowlug/net/__init__.py
@@ -0,0 +1,1 @@
+"""Connections that several adapters share."""
--- a/mallowlug/http.py
+++ b/mallowlug/net/http.py
@@ -8,7 +8,8 @@
 
 import h11
 
-Address = tuple[str, int]
+from mallowlug.core.model import Address
+
 Headers = list[tuple[str, str]]
 MOST_HEAD = 16 * 1024  # bytes of a status line and headers
 MOST_INTERIM = 16  # 1xx answers ahead of the final one
--- a/mallowlug/hosts.py
+++ b/mallowlug/partners/http_calls.py
@@ -11,13 +11,14 @@
 import math
 import re
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 import h11
 
-from mallowlug.discovery import HostList, Listed
-from mallowlug.http import FAULTS, Connection, Headers, SpoiltError
+from mallowlug.core.model import Call, HostList, Listed, Part, Told
+from mallowlug.core.ports import Settled
+from mallowlug.net.http import FAULTS, Connection, Headers, SpoiltError
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
@@ -38,52 +39,20 @@
 
 
 @dataclass(slots=True, eq=False)
-class Part:
-    """One message's attempt within a call."""
+class Exchange:
+    """One call on its way: what of it has gone out, and on which connection."""
 
-    id: str
-    attempt: int
-    key: str
-    body: bytes
-    limit_us: int
-    settled: bool = False
-    timer: asyncio.TimerHandle | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Told:
-    """How a part ended and what the host said beside it."""
-
-    verdict: Verdict
-    complete: bool = False
-    wait_us: int = 0
-    report: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """One call out: a host and the parts that travel together."""
-
-    host: str
-    parts: list[Part]
-    sent_s: float
+    call: Call
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
     sent: list[Part] = field(default_factory=list)  # what the request carries: parts may end before it
+    timers: dict[Part, asyncio.TimerHandle] = field(default_factory=dict)
 
     @property
     def written(self) -> bool:
         """Whether the last byte is out, after which the host may have begun."""
         return self.connection is not None and self.connection.begun and self.connection.unsent == 0
 
-    @property
-    def open(self) -> list[Part]:
-        """The parts that have no outcome yet."""
-        return [part for part in self.parts if not part.settled]
-
-
-Settled = Callable[[Call, Part, Told], None]
-
 
 def request_of(connection: Connection, parts: list[Part]) -> bytes:
     """The request for one message, or for several that share a call."""
@@ -167,7 +136,7 @@
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
-        self.calls: set[Call] = set()
+        self.exchanges: set[Exchange] = set()
 
     def apply(self, news: HostList) -> None:
         """Follow the list at once: what drains or goes gets no call that is still to be written."""
@@ -218,20 +187,27 @@
             return Told(Verdict.NOT_SENT, wait_us=wait_us)
         return None
 
-    def send(self, call: Call) -> None:
+    @property
+    def busy(self) -> bool:
+        """Whether a call is out."""
+        return bool(self.exchanges)
+
+    def send(self, call: Call) -> Exchange:
         """Start one call; each part is settled at its own limit at the latest."""
-        loop = asyncio.get_running_loop()
-        self.calls.add(call)
+        loop, exchange = asyncio.get_running_loop(), Exchange(call)
+        self.exchanges.add(exchange)
         for part in call.parts:
-            part.timer = loop.call_later(part.limit_us / 1e6, self._stop, call, part, Verdict.TIMEOUT)
-        call.task = loop.create_task(self._run(call))
+            limit_s = part.limit_us / 1e6
+            exchange.timers[part] = loop.call_later(limit_s, self._stop, exchange, part, Verdict.TIMEOUT)
+        exchange.task = loop.create_task(self._run(exchange))
+        return exchange
 
     def cancel(self, ref: str, attempt: int) -> None:
         """Call one attempt off."""
-        for call in list(self.calls):
-            for part in call.open:
+        for exchange in list(self.exchanges):
+            for part in exchange.call.open:
                 if (part.id, part.attempt) == (ref, attempt):
-                    self._stop(call, part, Verdict.CANCELLED)
+                    self._stop(exchange, part, Verdict.CANCELLED)
 
     def close_idle(self, host: str) -> None:
         """Close the connections to a host that carry no call."""
@@ -240,95 +216,99 @@
 
     def close(self) -> None:
         """Give up everything, silently: what is out stays in the journal as it stands."""
-        for call in list(self.calls):
-            for part in call.open:
-                self._settle(call, part, None)
-            if call.task is not None:
-                call.task.cancel()
+        for exchange in list(self.exchanges):
+            for part in exchange.call.open:
+                self._settle(exchange, part, None)
+            if exchange.task is not None:
+                exchange.task.cancel()
         for host in list(self._idle):
             self.close_idle(host)
 
-    def _settle(self, call: Call, part: Part, told: Told | None) -> None:
+    def _settle(self, exchange: Exchange, part: Part, told: Told | None) -> None:
         part.settled = True
-        if part.timer is not None:
-            part.timer.cancel()
+        if part in exchange.timers:
+            exchange.timers.pop(part).cancel()
         if told is not None:
-            self._settled(call, part, told)
+            self._settled(exchange.call, part, told)
 
-    def _stop(self, call: Call, part: Part, verdict: Verdict) -> None:
+    def _stop(self, exchange: Exchange, part: Part, verdict: Verdict) -> None:
         """End one part before its answer; with the last one the connection is closed."""
         if part.settled:
             return
-        if verdict is Verdict.TIMEOUT and call.connection is not None and call.connection.answering:
+        connection = exchange.connection
+        if verdict is Verdict.TIMEOUT and connection is not None and connection.answering:
             verdict = Verdict.ERROR  # it answers without an end: no silence of a lost host
-        last = len(call.open) == 1
-        begun = call.connection is not None and call.connection.begun
-        ran = call.written if last else begun  # others' bytes that follow may complete the call
-        self._settle(call, part, self._proved(call) or Told(verdict if ran else Verdict.CONNECT_FAILED))
-        if last and call.task is not None:
-            call.task.cancel()
-
-    async def _run(self, call: Call) -> None:
+        last = len(exchange.call.open) == 1
+        begun = connection is not None and connection.begun
+        ran = exchange.written if last else begun  # others' bytes that follow may complete the call
+        told = Told(verdict if ran else Verdict.CONNECT_FAILED)
+        self._settle(exchange, part, self._proved(exchange) or told)
+        if last and exchange.task is not None:
+            exchange.task.cancel()
+
+    async def _run(self, exchange: Exchange) -> None:
         """Connect, write, read: every way out settles what is open and leaves no connection behind."""
-        told, keep = Told(Verdict.RESET), False
+        told, keep, host = Told(Verdict.RESET), False, exchange.call.host
         try:
-            keep = await self._exchange(call)
+            keep = await self._exchange(exchange)
         except SpoiltError as error:  # not a reset: the connection held, and the host has answered
-            LOG.debug("hosts: %s: a spoilt answer: %s", call.host, str(error)[:80])
+            LOG.debug("hosts: %s: a spoilt answer: %s", host, str(error)[:80])
             told = Told(Verdict.ERROR)
         except (*FAULTS, TimeoutError) as error:
-            LOG.debug("hosts: %s: %r", call.host, error)
+            LOG.debug("hosts: %s: %r", host, error)
         except Exception:
-            LOG.exception("hosts: call to %s broke", call.host)
+            LOG.exception("hosts: call to %s broke", host)
         finally:
-            if not call.written:
+            if not exchange.written:
                 told = Told(Verdict.CONNECT_FAILED)
-            if call.connection is not None and not keep:
-                call.connection.close()
-            self.calls.discard(call)
-            for part in call.open:
-                self._settle(call, part, self._proved(call) or told)
+            if exchange.connection is not None and not keep:
+                exchange.connection.close()
+            self.exchanges.discard(exchange)
+            for part in exchange.call.open:
+                self._settle(exchange, part, self._proved(exchange) or told)
 
     @staticmethod
-    def _proved(call: Call) -> Told | None:
+    def _proved(exchange: Exchange) -> Told | None:
         """A first line that says 200 is true for the one message of a call, however the answer went on."""
-        if len(call.sent) == 1 and call.written and call.connection and call.connection.says_delivered:
+        connection = exchange.connection
+        if len(exchange.sent) == 1 and exchange.written and connection and connection.says_delivered:
             return Told(Verdict.OK, complete=True)
         return None
 
-    async def _exchange(self, call: Call) -> bool:
+    async def _exchange(self, exchange: Exchange) -> bool:
         """The call itself; whether its connection can serve again."""
-        connection = self._take(call.host) or await self._open(call.host)
-        call.connection = connection
+        host = exchange.call.host
+        connection = self._take(host) or await self._open(host)
+        exchange.connection = connection
         # Connecting takes time, in which a wait or a drain may have been told: it binds this write too.
-        barred, parts = self.barred(call.host), call.open
+        barred, parts = self.barred(host), exchange.call.open
         if barred is not None:
             for part in parts:
-                self._settle(call, part, barred)
-            return self._keep(call.host, connection)
-        call.sent = parts
+                self._settle(exchange, part, barred)
+            return self._keep(host, connection)
+        exchange.sent = parts
         await connection.send(request_of(connection, parts))
         answer = await connection.answer()
         wait_us, report = wait_of(answer), report_of(answer)
         if wait_us:
-            route = self._route(call.host)
+            route = self._route(host)
             until = time.monotonic() + wait_us / 1e6
             self._waits[route] = max(self._waits.get(route, 0.0), until)
         if answer.status_code == DELIVERED and len(parts) == 1:
-            self._tell(call, parts[0], Told(Verdict.OK, True, wait_us, report))
+            self._tell(exchange, parts[0], Told(Verdict.OK, True, wait_us, report))
             parts = []
         # Any other answer counts when it is whole: a head that says "never ran" proves nothing if the
         # body shows that the answer is spoilt, for the request has run then.
         body = await connection.body(MOST_ANSWER)
         ends = ends_of(body, parts) if answer.status_code == DELIVERED and parts else {}
         for part in parts:
-            self._tell(call, part, told_of(answer, ends.get(part.id), wait_us, report))
-        return self._keep(call.host, connection)
+            self._tell(exchange, part, told_of(answer, ends.get(part.id), wait_us, report))
+        return self._keep(host, connection)
 
-    def _tell(self, call: Call, part: Part, told: Told) -> None:
+    def _tell(self, exchange: Exchange, part: Part, told: Told) -> None:
         """Settle a part; where its own time ran out within the call, only a final end is still news."""
         if not part.settled or told.complete:
-            self._settle(call, part, told)
+            self._settle(exchange, part, told)
 
     async def _open(self, host: str) -> Connection:
         listed = self._listed.get(host)
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -5,8 +5,8 @@
 import asyncio
 import time
 
-from mallowlug.discovery import HostList, Listed
-from mallowlug.hosts import Call, Hosts, Part, Told
+from mallowlug.core.model import Call, HostList, Listed, Part, Told
+from mallowlug.partners.http_calls import Exchange, Hosts
 from mossfront.interface import Entry, Kind, Listing
 from tests.world import HttpServer, delivered, soon
 
@@ -31,11 +31,10 @@
         self.told[part.id] = told
         self.ended.set()
 
-    def send(self, *refs: str, limit_us: int = 20_000_000, body: bytes = b"x") -> Call:
+    def send(self, *refs: str, limit_us: int = 20_000_000, body: bytes = b"x") -> Exchange:
         """One call."""
         call = Call("h1", [Part(ref, 0, "", body, limit_us) for ref in refs], time.monotonic())
-        self.hosts.send(call)
-        return call
+        return self.hosts.send(call)
 
     async def outcome(self, ref: str) -> Told:
         """How a message's attempt ended."""
--- /dev/null
+++ b/tests/contracts/ends.py
@@ -0,0 +1,126 @@
+"""What every way of telling ends has to keep: owed until confirmed, confirmed once."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import pytest
+
+from mallowlug.core.model import Address, Notice
+from mallowlug.core.ports import Ends
+from tests.world import soon
+
+
+class EndsPeer(Protocol):
+    """The platform in the protocol of the ends."""
+
+    address: Address
+
+    def then(self, *replies: str) -> None:
+        """How the next deliveries fare: ``confirm``, ``fail``, ``reset``, ``hang``; then ``confirm``."""
+
+    @property
+    def heard(self) -> list[tuple[str, str, int]]:
+        """Every end that came, as reference, result and wait in ms."""
+
+    async def came(self, number: int) -> None:
+        """Wait until so many deliveries have come."""
+
+    def stop(self) -> None:
+        """Be gone."""
+
+
+class Confirmed:
+    """What was confirmed, in order."""
+
+    def __init__(self) -> None:
+        self.refs: list[str] = []
+        self.changed = asyncio.Event()
+
+    def __call__(self, ref: str) -> None:
+        """The core's callback."""
+        self.refs.append(ref)
+        self.changed.set()
+
+    async def all(self, *refs: str) -> None:
+        """Wait until all of them are confirmed."""
+        while not set(refs) <= set(self.refs):
+            self.changed.clear()
+            await soon(self.changed.wait())
+
+
+class EndsContract:
+    """Subclass, name it ``Test...`` and supply ``ends`` and ``peer``."""
+
+    def ends(self, address: Address, confirmed: Confirmed) -> Ends:
+        """The port's implementation, not started."""
+        raise NotImplementedError
+
+    async def peer(self) -> EndsPeer:
+        """A platform that is up."""
+        raise NotImplementedError
+
+    @pytest.fixture
+    async def rig(self):  # type: ignore[no-untyped-def]
+        """Ends that were started, what was confirmed, and the platform."""
+        confirmed, peer = Confirmed(), await self.peer()
+        ends = self.ends(peer.address, confirmed)
+        ends.start()
+        yield ends, confirmed, peer
+        ends.close()
+        peer.stop()
+
+    async def test_an_end_is_told_as_it_is(self, rig: tuple[Ends, Confirmed, EndsPeer]) -> None:
+        ends, confirmed, peer = rig
+        ends.send(Notice("m1", "dead"))
+        ends.send(Notice("m2", "bounced", 1500))
+        await confirmed.all("m1", "m2")
+        assert sorted(peer.heard) == [("m1", "dead", 0), ("m2", "bounced", 1500)]
+        assert ends.owed == 0
+
+    @pytest.mark.parametrize("how", ["fail", "reset", "hang"])
+    async def test_it_is_owed_until_it_is_confirmed_and_confirmed_once(
+        self, rig: tuple[Ends, Confirmed, EndsPeer], how: str
+    ) -> None:
+        ends, confirmed, peer = rig
+        peer.then(how, how)
+        ends.send(Notice("m1", "dead"))
+        await peer.came(2)
+        assert (ends.owed, confirmed.refs) == (1, [])
+        await confirmed.all("m1")
+        assert (ends.owed, confirmed.refs) == (0, ["m1"])
+        assert set(peer.heard) == {("m1", "dead", 0)}
+
+    async def test_a_delivery_that_hangs_holds_up_no_other(
+        self, rig: tuple[Ends, Confirmed, EndsPeer]
+    ) -> None:
+        ends, confirmed, peer = rig
+        peer.then("hang")
+        ends.send(Notice("m1", "dead"))
+        await peer.came(1)
+        ends.send(Notice("m2", "dead"))
+        await confirmed.all("m2")
+        await confirmed.all("m1")
+        assert sorted(confirmed.refs) == ["m1", "m2"]
+
+    async def test_what_is_owed_moves_with_the_address(self, rig: tuple[Ends, Confirmed, EndsPeer]) -> None:
+        ends, confirmed, peer = rig
+        peer.then(*["fail"] * 1000)
+        ends.send(Notice("m1", "dead"))
+        await peer.came(1)
+        other = await self.peer()
+        ends.move(other.address)
+        await confirmed.all("m1")
+        assert other.heard == [("m1", "dead", 0)]
+        other.stop()
+
+    async def test_after_close_nothing_is_confirmed(self, rig: tuple[Ends, Confirmed, EndsPeer]) -> None:
+        ends, confirmed, peer = rig
+        peer.then(*["hang"] * 10)
+        ends.send(Notice("m1", "dead"))
+        await peer.came(1)
+        ends.close()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert (ends.owed, confirmed.refs) == (1, [])
--- /dev/null
+++ b/tests/contracts/partners.py
@@ -0,0 +1,195 @@
+"""What every partner transport has to keep: each part settled once, and what its verdict proves."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Protocol
+
+import pytest
+
+from mallowlug.core.model import Address, Call, HostList, Listed, Part, Told
+from mallowlug.core.ports import Partners, Settled
+from mossfront.interface import Entry, Kind, Listing, Verdict
+from tests.world import soon
+
+KIND = Kind("banks", apart=True, batch=4)
+LIMIT_US = 20_000_000
+
+
+class PartnerPeer(Protocol):
+    """An endpoint that speaks the transport's protocol and answers by script."""
+
+    address: Address
+
+    def then(self, *replies: str) -> None:
+        """How the next calls fare: ``delivered``, ``refused``, ``wait`` (refused for 60 s), ``error``,
+        ``silent``, ``reset`` or ``partly`` (delivered, refused in turn); after them ``delivered``."""
+
+    @property
+    def calls(self) -> list[list[str]]:
+        """The ids of every call whose last byte came."""
+
+    async def came(self, number: int) -> None:
+        """Wait until so many calls have come."""
+
+    def stop(self) -> None:
+        """Refuse connections from now on and break those that are open."""
+
+
+class Books:
+    """What a transport settled."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, Told]] = []
+        self.changed = asyncio.Event()
+
+    def settled(self, _call: Call, part: Part, told: Told) -> None:
+        """The core's callback."""
+        self.told.append((part.id, told))
+        self.changed.set()
+
+    def of(self, ref: str) -> list[Told]:
+        """All that was settled for a message."""
+        return [told for known, told in self.told if known == ref]
+
+    async def first(self, ref: str) -> Told:
+        """How a message fared."""
+        while not self.of(ref):
+            self.changed.clear()
+            await soon(self.changed.wait())
+        return self.of(ref)[0]
+
+
+class PartnersContract:
+    """Subclass, name it ``Test...`` and supply ``partners`` and ``peer``."""
+
+    def partners(self, settled: Settled) -> Partners:
+        """The transport, with ``KIND`` as the one kind."""
+        raise NotImplementedError
+
+    async def peer(self) -> PartnerPeer:
+        """An endpoint that is up."""
+        raise NotImplementedError
+
+    @pytest.fixture
+    async def rig(self):  # type: ignore[no-untyped-def]
+        """Transport, books and one listed endpoint ``h1``."""
+        books, peer = Books(), await self.peer()
+        partners = self.partners(books.settled)
+        listed(partners, peer.address)
+        yield partners, books, peer
+        partners.close()
+        peer.stop()
+
+    @pytest.mark.parametrize(
+        ("reply", "verdict", "complete"),
+        [
+            ("delivered", Verdict.OK, True),
+            ("refused", Verdict.FULL, False),
+            ("error", Verdict.ERROR, False),
+            ("reset", Verdict.RESET, False),
+        ],
+    )
+    async def test_what_an_answer_proves(
+        self, rig: tuple[Partners, Books, PartnerPeer], reply: str, verdict: Verdict, complete: bool
+    ) -> None:
+        partners, books, peer = rig
+        peer.then(reply)
+        partners.send(call("m1"))
+        told = await books.first("m1")
+        assert (told.verdict, told.complete) == (verdict, complete)
+        assert peer.calls == [["m1"]]
+
+    async def test_each_part_of_a_call_has_its_own_end(
+        self, rig: tuple[Partners, Books, PartnerPeer]
+    ) -> None:
+        partners, books, peer = rig
+        peer.then("partly")
+        partners.send(call("m1", "m2", "m3"))
+        told = [(await books.first(ref)).verdict for ref in ("m1", "m2", "m3")]
+        assert told == [Verdict.OK, Verdict.FULL, Verdict.OK]
+        assert partners.batch("h1") == 4
+
+    async def test_a_refused_connection_never_ran(self, rig: tuple[Partners, Books, PartnerPeer]) -> None:
+        partners, books, peer = rig
+        peer.stop()
+        partners.send(call("m1"))
+        assert (await books.first("m1")).verdict is Verdict.CONNECT_FAILED
+
+    async def test_silence_ends_with_the_parts_own_limit_and_may_have_run(
+        self, rig: tuple[Partners, Books, PartnerPeer]
+    ) -> None:
+        partners, books, peer = rig
+        peer.then("silent")
+        sent = call("m1")
+        sent.parts[0].limit_us = 300_000
+        partners.send(sent)
+        assert (await books.first("m1")).verdict is Verdict.TIMEOUT
+        assert not (await books.first("m1")).verdict.never_ran
+
+    async def test_a_cancel_settles_once_and_another_settles_nothing(
+        self, rig: tuple[Partners, Books, PartnerPeer]
+    ) -> None:
+        partners, books, peer = rig
+        peer.then("silent")
+        partners.send(call("m1"))
+        await peer.came(1)
+        for _ in range(3):
+            partners.cancel("m1", 0)
+        partners.cancel("nobody", 0)
+        assert [told.verdict for told in books.of("m1")] == [Verdict.CANCELLED]
+        partners.send(call("m2"))
+        await books.first("m2")
+        assert len(books.of("m1")) == 1
+        assert len(books.told) == 2
+
+    async def test_a_wait_binds_from_its_answer_on(self, rig: tuple[Partners, Books, PartnerPeer]) -> None:
+        partners, books, peer = rig
+        peer.then("wait")
+        partners.send(call("m1"))
+        first = await books.first("m1")
+        assert first.verdict is Verdict.FULL
+        assert first.wait_us == 60_000_000
+        partners.send(call("m2"))
+        later = await books.first("m2")
+        assert later.verdict is Verdict.NOT_SENT
+        assert 0 < later.wait_us <= 60_000_000
+        assert peer.calls == [["m1"]]
+
+    @pytest.mark.parametrize("listing", [Listing.DRAINING, Listing.GONE])
+    async def test_news_binds_a_call_that_was_decided_before(
+        self, rig: tuple[Partners, Books, PartnerPeer], listing: Listing
+    ) -> None:
+        partners, books, peer = rig
+        partners.send(call("m1"))
+        listed(partners, peer.address, listing)
+        assert (await books.first("m1")).verdict.never_ran
+        assert peer.calls == []
+
+    async def test_a_call_to_nobody_never_ran(self, rig: tuple[Partners, Books, PartnerPeer]) -> None:
+        partners, books, _ = rig
+        partners.send(Call("h9", [Part("m1", 0, "", b"x", LIMIT_US)], time.monotonic()))
+        assert (await books.first("m1")).verdict.never_ran
+        assert partners.zone("h9") == ""
+
+    async def test_close_settles_nothing(self, rig: tuple[Partners, Books, PartnerPeer]) -> None:
+        partners, books, peer = rig
+        peer.then("silent")
+        partners.send(call("m1"))
+        await peer.came(1)
+        assert partners.busy
+        partners.close()
+        while partners.busy:
+            await asyncio.sleep(0.01)
+        assert books.told == []
+
+
+def call(*refs: str) -> Call:
+    """One call to ``h1``."""
+    return Call("h1", [Part(ref, 0, f"key-{ref}", b"x", LIMIT_US) for ref in refs], time.monotonic())
+
+
+def listed(partners: Partners, address: Address, listing: Listing = Listing.READY) -> None:
+    """The endpoint ``h1`` as the directory lists it."""
+    partners.apply(HostList(1, False, (Listed(Entry("h1", 1, "a", "banks", listing), address),)))
--- /dev/null
+++ b/tests/test_contracts.py
@@ -0,0 +1,173 @@
+"""The platform's adapters under their ports' contracts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from mallowlug.core.model import Address
+from mallowlug.core.ports import Directory, Ends, Front, Partners, Settled
+from mallowlug.directory.discovery import Watch
+from mallowlug.ends.notices import Notices
+from mallowlug.fronts.resp2 import Server
+from mallowlug.partners.http_calls import Hosts
+from mossfront.interface import Listing
+from tests import world
+from tests.contracts.directory import DirectoryContract, News
+from tests.contracts.ends import Confirmed, EndsContract
+from tests.contracts.front import Core, FrontContract
+from tests.contracts.partners import KIND, PartnersContract
+from tests.world import HttpServer, Reply, Request, delivered, enqueue, packed, silent, soon
+
+
+class Resp2Peer:
+    """A RESP2 client."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def _answer(self) -> str | None:
+        try:
+            line = (await soon(self.reader.readline())).rstrip()
+        except ConnectionError:
+            return None
+        if line.startswith(b"-BUSY"):
+            return "refused " + line[6:].decode()
+        return {b"+": "taken", b"-": "failed"}.get(line[:1])
+
+    async def hand_in(self, *refs: str) -> list[str | None]:
+        self.writer.write(b"".join(packed(*enqueue(ref)) for ref in refs))
+        return [await self._answer() for _ in refs]
+
+    async def garbage(self) -> str | None:
+        self.writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        return await self._answer()
+
+    async def half(self) -> None:
+        self.writer.write(packed(*enqueue("m1"))[:-1])
+
+    async def ended(self) -> None:
+        while await self.reader.read(1024):
+            pass
+
+
+class TestResp2(FrontContract):
+    def front(self, core: Core, port: int, most: int) -> Front:
+        return Server(core, ("127.0.0.1", port), most)
+
+    async def peer(self, port: int) -> Resp2Peer:
+        return Resp2Peer(*await asyncio.open_connection("127.0.0.1", port))
+
+
+def partly(request: Request) -> None:
+    """Deliver every second message of a batch, refuse the others."""
+    ends = ("delivered", "refused")
+    request.answer(200, "".join(f"{ref} {ends[at % 2]}\r\n" for at, ref in enumerate(request.ids)))
+
+
+class HttpPeer:
+    """A scripted HTTP/1.1 server under the names that the contracts use."""
+
+    def __init__(self, server: HttpServer, replies: dict[str, Reply]) -> None:
+        self.server, self._replies = server, replies
+        self.address = ("127.0.0.1", server.port)
+
+    def then(self, *replies: str) -> None:
+        self.server.script.extend(self._replies[reply] for reply in replies)
+
+    @property
+    def calls(self) -> list[list[str]]:
+        return [request.ids for request in self.server.seen]
+
+    @property
+    def heard(self) -> list[tuple[str, str, int]]:
+        lines = [json.loads(line) for request in self.server.seen for line in request.body.splitlines()]
+        return [(line["ref"], line["result"], line.get("wait_ms", 0)) for line in lines]
+
+    async def came(self, number: int) -> None:
+        await self.server.until(lambda: len(self.server.seen) >= number)
+
+    def stop(self) -> None:
+        self.server.stop()
+
+
+class TestHttpCalls(PartnersContract):
+    def partners(self, settled: Settled) -> Partners:
+        return Hosts([KIND], 15_000_000, 10_000_000, 10, settled)
+
+    async def peer(self) -> HttpPeer:
+        server = HttpServer(delivered)
+        await server.start()
+        return HttpPeer(
+            server,
+            {
+                "delivered": delivered,
+                "refused": lambda request: request.answer(503),
+                "wait": lambda request: request.answer(429, X_Retry_In_Ms="60000"),
+                "error": lambda request: request.answer(500),
+                "silent": silent,
+                "reset": Request.reset,
+                "partly": partly,
+            },
+        )
+
+
+STATES = {Listing.READY: "SERVING", Listing.DRAINING: "DRAINING", Listing.GONE: "DELETED"}
+
+
+class DiscoveryPeer:
+    """The scripted directory under the names that the contract uses."""
+
+    def __init__(self, server: world.Directory) -> None:
+        self._server = server
+        self.address = ("127.0.0.1", server.port)
+
+    def change(self, host: str, listing: Listing) -> None:
+        self._server.change(host, dial="127.0.0.1:1", health=STATES[listing])
+
+    def repeat_old(self) -> None:
+        old = [entry | {"health": "SERVING"} for entry in self._server.hosts.values()]
+        line = json.dumps({"seq": self._server.seq - 1, "whole": True, "hosts": old}).encode() + b"\n"
+        for request in self._server._watches:
+            self._server.raw(request, line)
+
+    def garble(self) -> None:
+        self._server.garble()
+
+    def lose(self) -> None:
+        self._server.lose()
+
+    def regain(self) -> None:
+        self._server.down = False
+
+    def stop(self) -> None:
+        self._server.stop()
+
+
+class TestDiscovery(DirectoryContract):
+    def directory(self, address: Address, news: News) -> Directory:
+        return Watch(address, 0, news.told, news.failed)
+
+    async def peer(self) -> DiscoveryPeer:
+        server = world.Directory()
+        await server.start()
+        server.change("h1", dial="127.0.0.1:1")
+        return DiscoveryPeer(server)
+
+
+class TestNotices(EndsContract):
+    def ends(self, address: Address, confirmed: Confirmed) -> Ends:
+        return Notices(address, confirmed)
+
+    async def peer(self) -> HttpPeer:
+        server = HttpServer(lambda request: request.answer(204))
+        await server.start()
+        return HttpPeer(
+            server,
+            {
+                "confirm": lambda request: request.answer(204),
+                "fail": lambda request: request.answer(503),
+                "reset": Request.reset,
+                "hang": silent,
+            },
+        )
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from mallowlug.discovery import HostList, Listed
-from mallowlug.hosts import Hosts
+from mallowlug.core.model import HostList, Listed
+from mallowlug.partners.http_calls import Hosts
 from mossfront import interface as api
 from mossfront.brain import FORGET_US, Relay
 from tests.support import SAFE, SECOND, entry, roster, sends, settings
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -9,8 +9,9 @@
 import h11
 import pytest
 
-from mallowlug.hosts import Told, report_of, verdict_of, wait_of
-from mallowlug.http import Connection
+from mallowlug.core.model import Told
+from mallowlug.net.http import Connection
+from mallowlug.partners.http_calls import report_of, verdict_of, wait_of
 from mossfront.interface import Listing, Verdict
 from tests.calls import Calls, serving
 from tests.world import delivered, silent, soon
@@ -102,7 +103,7 @@
     assert (await calls.outcome("m1")).verdict is Verdict.TIMEOUT
     while host.writers:
         await asyncio.sleep(0.01)
-    assert calls.hosts.calls == set()
+    assert calls.hosts.exchanges == set()
     host.stop()
 
 
@@ -124,7 +125,7 @@
     calls = Calls(host.port)
     call = calls.send("m1", "m2")
     request = await host.call(0)
-    calls.hosts._stop(call, call.parts[0], Verdict.TIMEOUT)
+    calls.hosts._stop(call, call.call.parts[0], Verdict.TIMEOUT)
     assert calls.told["m1"] == Told(Verdict.TIMEOUT)
     delivered(request)
     assert (await calls.outcome("m2")).verdict is Verdict.OK
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from mallowlug.journal import SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
+from mallowlug.core.journal import SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
 
 DISK = 3_000_000
 
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,33 @@
+"""The check on the direction of imports catches what it is there for."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.world import ROOT
+
+
+@pytest.mark.parametrize(
+    ("file", "planted"),
+    [
+        ("mallowlug/core/journal.py", "from mallowlug.fronts import resp2"),
+        ("mallowlug/fronts/resp2.py", "from mallowlug.partners import http_calls"),
+        ("mallowlug/net/http.py", "from mallowlug import compose"),
+        ("mossfront/state.py", "from mossfront import drill"),
+    ],
+)
+def test_a_planted_import_against_the_direction_is_found(tmp_path: Path, file: str, planted: str) -> None:
+    for name in ("mallowlug", "mossfront"):
+        shutil.copytree(ROOT / name, tmp_path / name, ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copy(ROOT / "pyproject.toml", tmp_path)
+    check = [str(Path(sys.executable).with_name("lint-imports")), "--no-cache"]
+    assert subprocess.run(check, cwd=tmp_path, capture_output=True, check=False).returncode == 0
+    with (tmp_path / file).open("a", encoding="utf-8") as out:
+        out.write(f"\n{planted}\n")
+    found = subprocess.run(check, cwd=tmp_path, capture_output=True, check=False)
+    assert found.returncode == 1, found.stdout
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -9,8 +9,8 @@
 import pytest
 
 from mallowlug import config
-from mallowlug.__main__ import serve
-from mallowlug.journal import Journal
+from mallowlug.compose import serve
+from mallowlug.core.journal import Journal
 from mossfront.brain import Relay as Module
 from tests.world import ROOT, World, delivered, silent, soon
 
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mallowlug.clients import Requests
+from mallowlug.fronts.resp2 import Requests
 from tests.world import World, enqueue, packed, silent, soon
 
 
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mallowlug import http
+from mallowlug.net import http
 from mossfront.interface import Verdict
 from tests.calls import Calls, serving
 from tests.world import BOUND_S, Reply, Request, delivered
@@ -69,7 +69,7 @@
     host.script.append(written(SPOILT[name], whole or len(SPOILT[name]) > 1000))
     calls.send("m1")
     assert (await calls.outcome("m1")).verdict is Verdict.ERROR
-    assert calls.hosts.calls == set()
+    assert calls.hosts.exchanges == set()
     calls.send("m2")
     assert (await calls.outcome("m2")).verdict is Verdict.OK
     assert host.connections == 2  # the spoilt one is of no further use
@@ -96,7 +96,7 @@
     calls.send("m1")
     told = await calls.outcome("m1")
     assert (told.verdict, told.complete) == (Verdict.OK, True)
-    while calls.hosts.calls:
+    while calls.hosts.exchanges:
         await asyncio.sleep(0.01)
     calls.send("m2")
     await calls.outcome("m2")
@@ -112,7 +112,7 @@
     host.script.append(written(head, True, endless))
     calls.send("m1")
     assert (await calls.outcome("m1")).verdict is (Verdict.OK if b"200" in head else Verdict.ERROR)
-    while calls.hosts.calls or host.writers:
+    while calls.hosts.exchanges or host.writers:
         await asyncio.sleep(0.01)
     host.stop()
 
@@ -174,7 +174,7 @@
     host.script.append(written(OK + behind, True))
     calls.send("m1")
     await calls.outcome("m1")
-    while calls.hosts.calls:
+    while calls.hosts.exchanges:
         await asyncio.sleep(0.01)
     calls.send("m2")
     assert (await calls.outcome("m2")).verdict is Verdict.ERROR
@@ -203,7 +203,7 @@
     call = calls.send("m1", "m2")
     while call.connection is None or not call.connection.answering:
         await asyncio.sleep(0.01)
-    calls.hosts._stop(call, call.parts[0], Verdict.TIMEOUT)
+    calls.hosts._stop(call, call.call.parts[0], Verdict.TIMEOUT)
     assert calls.told["m1"].verdict is Verdict.ERROR
     assert (await calls.outcome("m2")).verdict is Verdict.ERROR
     host.stop()
