Add the operator file and a command line; off in the platform's run line

Need: what comes next (planners, AMQP, LDAP) has to be switched on somewhere, and a file that people write has to be checked whole: one mistake at a time costs a restart each.

It has what the relay can do already: further RESP2 fronts on the same core, and the log's level. `python -m mallowlug` without a word imports none of it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# Each of these does all of its own set-up on a machine that has only Python 3.11 and make.
+VENV := .ci-venv
+PY := $(VENV)/bin/python
+CODE := mallowlug mossfront tests
+
+.PHONY: test
+
+test: $(VENV)/ready  ## lint, layers, types, tests: what CI runs
+	$(VENV)/bin/ruff check $(CODE)
+	$(VENV)/bin/lint-imports
+	$(VENV)/bin/mypy --strict $(CODE)
+	$(PY) -m pytest -q
+
+$(VENV)/ready: requirements.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements-dev.txt
+	touch $@
--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -1,34 +1,19 @@
-"""Start and exit code of one relay: ``python -m mallowlug``."""
+"""``python -m mallowlug``: the platform's relay; with words behind it, the command line."""
 
 from __future__ import annotations
 
-import asyncio
-import logging
-import os
-import signal
 import sys
 
-from mallowlug import config
-from mallowlug.compose import serve
 
-LOG = logging.getLogger("mallowlug")
+def main() -> int:
+    """Without a word, exactly the platform's relay: not even the command line is imported."""
+    if len(sys.argv) > 1:
+        from mallowlug.cli.main import main as command  # noqa: PLC0415
 
+        return command()
+    from mallowlug.cli.run import run  # noqa: PLC0415
 
-def main() -> int:
-    """Read the configuration and serve; 2 where it cannot be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before the handler stands: the file is being read anyway
-    logging.basicConfig(
-        level=logging.INFO,
-        stream=sys.stderr,
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-        datefmt="%H:%M:%S",
-    )
-    try:
-        cfg = config.load(os.environ)
-    except config.ConfigError as error:
-        LOG.critical("configuration: %s", error)
-        return 2
-    return asyncio.run(serve(cfg))
+    return run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/mallowlug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line beside the `run` line."""
--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -12,7 +12,7 @@
 
 from mallowlug import config
 from mallowlug.core.journal import Journal
-from mallowlug.core.ports import Front, Plugs
+from mallowlug.core.ports import Front, Intake, Plugs
 from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import Watch
 from mallowlug.ends.notices import Notices
@@ -25,6 +25,14 @@
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
+def fronts_of(cfg: config.Config, extras: config.Extras, core: Intake) -> list[Front]:
+    """The platform's front, then the operator's; all share one half of the descriptors."""
+    left = cfg.sockets // 2 - sum(plan.connections for plan in extras.fronts)
+    if left < cfg.sockets // 4:
+        raise config.ConfigError(f"front: at most {cfg.sockets // 4} connections beside the platform's")
+    return [Server(core, cfg.listen, left), *(Server(core, p.listen, p.connections) for p in extras.fronts)]
+
+
 def plugs_of(cfg: config.Config) -> Plugs:
     """The platform's adapters, bound to what the configuration tells."""
     return Plugs(
@@ -36,7 +44,7 @@
     )
 
 
-async def serve(cfg: config.Config) -> int:
+async def serve(cfg: config.Config, extras: config.Extras = config.NOTHING) -> int:
     """Run until SIGTERM or until the step loop breaks; the exit code."""
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[int] = loop.create_future()
@@ -54,7 +62,7 @@
         plugs=plugs_of(cfg),
         crashed=crashed,
     )
-    front = Server(driver, cfg.listen, cfg.sockets // 2)
+    fronts = fronts_of(cfg, extras, driver)
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
@@ -62,12 +70,14 @@
     loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg)
     driver.start()
     gc.freeze()  # modules and settings stay: going through them at each collection took a quarter of the CPU
-    await front.start()
+    for front in fronts:
+        await front.start()
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
-    stop = loop.create_task(shut_down(terminated, driver, front))
+    stop = loop.create_task(shut_down(terminated, driver, fronts))
     both: set[asyncio.Future[Any]] = {stop, ended}
     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-    front.close()
+    for front in fronts:
+        front.close()
     driver.close()
     journal.close()
     if ended.done():
@@ -92,7 +102,7 @@
     driver.move(cfg.discovery)
 
 
-async def shut_down(terminated: asyncio.Event, driver: Driver, front: Front) -> None:
+async def shut_down(terminated: asyncio.Event, driver: Driver, fronts: list[Front]) -> None:
     """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
 
     A connection that ends with a request unanswered loses a message. So connections are closed while the
@@ -102,9 +112,14 @@
     LOG.info("SIGTERM: shutting down")
     start_s = asyncio.get_running_loop().time()
     driver.shut_down(start_s + LAST_S)
-    await until(start_s + SERVE_S, lambda: not front.clients and driver.idle, start_s + 0.5)
-    front.end_clients()
-    await until(start_s + LAST_S, lambda: not front.clients and driver.idle, start_s + SERVE_S + 0.3)
+
+    def parted() -> bool:
+        return driver.idle and not any(front.clients for front in fronts)
+
+    await until(start_s + SERVE_S, parted, start_s + 0.5)
+    for front in fronts:
+        front.end_clients()
+    await until(start_s + LAST_S, parted, start_s + SERVE_S + 0.3)
     LOG.info("SIGTERM: shut down")
 
 
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -38,6 +38,26 @@
     known: HostList
 
 
+@dataclass(frozen=True, slots=True)
+class FrontPlan:
+    """A listener beside the platform's, and how many connections it may hold."""
+
+    kind: str
+    listen: Address
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Extras:
+    """What an operator file switches on; as it stands here, nothing."""
+
+    log_level: str = "INFO"
+    fronts: tuple[FrontPlan, ...] = ()
+
+
+NOTHING = Extras()
+
+
 def address_of(text: str) -> Address:
     """``host:port`` as the pair that sockets take."""
     host, sign, port = text.rpartition(":")
--- /dev/null
+++ b/mallowlug/operator/model.py
@@ -0,0 +1,64 @@
+"""What an operator file may say, and how it becomes the composition root's values.
+
+Only a run with ``--operator`` imports this: the validation library takes memory that some days have not.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field, field_validator
+
+from mallowlug import toml_check
+from mallowlug.config import ConfigError, Extras, FrontPlan, address_of
+
+
+def an_address(text: str) -> str:
+    """``host:port``."""
+    try:
+        address_of(text)
+    except ConfigError as error:
+        raise ValueError(str(error)) from None
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(an_address)]
+
+
+class FrontTable(toml_check.Strict):
+    """``[[front]]``: a further listener beside the platform's."""
+
+    kind: Literal["resp2"]
+    listen: AddressText
+    connections: int = Field(default=64, ge=1, le=65_536)
+
+
+class LogTable(toml_check.Strict):
+    """``[log]``."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class OperatorFile(toml_check.Strict):
+    """The whole file; every table may be left out."""
+
+    log: LogTable = LogTable()
+    front: tuple[FrontTable, ...] = Field(default=(), strict=False)
+
+    @field_validator("front")
+    @classmethod
+    def apart(cls, fronts: tuple[FrontTable, ...]) -> tuple[FrontTable, ...]:
+        """Two listeners cannot share an address."""
+        seen: dict[str, int] = {}
+        for at, front in enumerate(fronts):
+            if (first := seen.setdefault(front.listen, at)) != at:
+                raise ValueError(f"front.{at}.listen: {front.listen} is front.{first}'s already")
+        return fronts
+
+
+def load(path: Path) -> Extras:
+    """The file's extras; ``toml_check.FileMistakesError`` (a ``ValueError``) with every mistake."""
+    told = toml_check.read(path, OperatorFile)
+    fronts = tuple(FrontPlan(front.kind, address_of(front.listen), front.connections) for front in told.front)
+    return Extras(log_level=told.log.level.upper(), fronts=fronts)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,13 @@
 from pathlib import Path
 
 import pytest_asyncio
+from hypothesis import settings
 
 from tests.world import World
 
+settings.register_profile("same", derandomize=True, deadline=None)  # the same verdict every time
+settings.load_profile("same")
+
 
 @pytest_asyncio.fixture
 async def world(tmp_path: Path) -> AsyncIterator[World]:
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,194 @@
+"""The operator file: every mistake is named, and without one the relay is the platform's relay."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowlug.cli.main import main
+from mallowlug.config import NOTHING, FrontPlan
+from mallowlug.operator import model
+from mallowlug.toml_check import FileMistakesError, Mistake, line_of, places
+from tests.world import ROOT, Client, World, delivered, soon
+
+WRONG = """\
+colour = "red"
+
+[log]
+level = "loud"
+
+[[front]]
+kind = "resp2"
+listen = "127.0.0.1:7001"
+connections = 0
+
+[[front]]
+kind = "smtp"
+listen = "nowhere"
+connections = "many"
+"""
+
+
+def mistakes(path: Path, text: str) -> list[Mistake]:
+    """What is wrong with a file of that text."""
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(FileMistakesError) as caught:
+        model.load(path)
+    return list(caught.value.mistakes)
+
+
+def test_every_mistake_is_named_with_its_key_and_line(tmp_path: Path) -> None:
+    found = mistakes(tmp_path / "operator.toml", WRONG)
+    assert [(mistake.line, mistake.key) for mistake in found] == [
+        (1, "colour"),
+        (4, "log.level"),
+        (9, "front.0.connections"),
+        (12, "front.1.kind"),
+        (13, "front.1.listen"),
+        (14, "front.1.connections"),
+    ]
+    assert found[4].reason == "not an address: 'nowhere'"
+
+
+def test_a_missing_key_is_named_at_its_table(tmp_path: Path) -> None:
+    found = mistakes(tmp_path / "operator.toml", '\n[[front]]\nkind = "resp2"\n')
+    assert [(mistake.line, mistake.key) for mistake in found] == [(2, "front.0.listen")]
+
+
+def test_two_fronts_cannot_share_an_address(tmp_path: Path) -> None:
+    front = '[[front]]\nkind = "resp2"\nlisten = "127.0.0.1:7001"\n'
+    [mistake] = mistakes(tmp_path / "operator.toml", front + front)
+    assert (mistake.line, mistake.key) == (1, "front")
+    assert mistake.reason == "front.1.listen: 127.0.0.1:7001 is front.0's already"
+
+
+@pytest.mark.parametrize(("text", "line"), [("[log]\nlevel = \n", 2), ("[log\n", 1), ("a = 1\na = 2\n", 2)])
+def test_what_is_no_toml_is_named_with_its_line(tmp_path: Path, text: str, line: int) -> None:
+    [mistake] = mistakes(tmp_path / "operator.toml", text)
+    assert mistake.line == line
+    assert mistake.reason
+
+
+def test_a_file_that_is_not_there_or_no_text_is_one_mistake(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    with pytest.raises(FileMistakesError, match="cannot be read"):
+        model.load(path)
+    path.write_bytes(b"\xff\xfe")
+    with pytest.raises(FileMistakesError, match="cannot be read"):
+        model.load(path)
+
+
+names = st.text("abcdefghij", min_size=1, max_size=4)
+
+
+@given(st.dictionaries(names, st.lists(st.dictionaries(names, st.integers(0, 9)), max_size=3), max_size=4))
+def test_each_key_is_found_on_its_line(tables: dict[str, list[dict[str, int]]]) -> None:
+    lines, wanted = list[str](), dict[tuple[str | int, ...], int]()
+    for table, items in tables.items():
+        for at, item in enumerate(items):
+            lines += ["# level = 7", 'text = """', "[[not]]", 'x = 1"""'] if not wanted else [""]
+            lines.append(f"[[ {table} ]]  # [x]")
+            wanted[(table, at)] = len(lines)
+            for key, value in item.items():
+                lines.append(f"  {key} = {value}")
+                wanted[(table, at, key)] = len(lines)
+    found = places("\n".join(lines))
+    assert {key: line_of(found, key) for key in wanted} == wanted
+    assert ("not", 0) not in found
+
+
+def test_check_says_what_is_wrong_and_ends_with_2(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(WRONG, encoding="utf-8")
+    assert main(["check", str(path)]) == 2
+    told = capsys.readouterr().err.splitlines()
+    assert len(told) == 6
+    assert told[0].startswith(f"{path}:1: colour: ")
+
+
+def test_the_file_that_is_shipped_switches_nothing_on() -> None:
+    assert model.load(ROOT / "deploy" / "operator.toml") == NOTHING
+    assert main(["check", str(ROOT / "deploy" / "operator.toml")]) == 0
+
+
+def test_what_the_shipped_file_shows_is_in_order(tmp_path: Path) -> None:
+    shown = [
+        line.removeprefix("# ")
+        for line in (ROOT / "deploy" / "operator.toml").read_text(encoding="utf-8").splitlines()
+        if line.startswith(("# [", "# level", "# kind", "# listen", "# connections"))
+    ]
+    path = tmp_path / "operator.toml"
+    path.write_text("\n".join(shown), encoding="utf-8")
+    assert model.load(path).fronts == (FrontPlan("resp2", ("127.0.0.1", 7001), 64),)
+
+
+def test_the_run_line_imports_nothing_of_what_is_off() -> None:
+    """Some days have 32 MB: off means not even imported."""
+    code = "import sys, mallowlug.cli.run; print(*sys.modules)"
+    command = [sys.executable, "-c", code]
+    loaded = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
+    modules = set(loaded.stdout.split())
+    assert "mallowlug.compose" in modules
+    assert not modules & {"pydantic", "pydantic_core", "argparse", "tomllib", "mallowlug.operator", "rig"}
+
+
+async def second_front(world: World, connections: int) -> tuple[str, int]:
+    """Write an operator file with a listener beside the platform's; its address."""
+    address = "127.77." + ".".join(world.address.split(".")[2:])
+    (world.folder / "operator.toml").write_text(
+        f'[[front]]\nkind = "resp2"\nlisten = "{address}:{world.port}"\nconnections = {connections}\n',
+        encoding="utf-8",
+    )
+    return address, world.port
+
+
+async def test_a_second_front_serves_on_the_same_core(world: World) -> None:
+    address, port = await second_front(world, 4)
+    host = await world.add("h1")
+    world.words = ("run", "--operator", str(world.folder / "operator.toml"))
+    first = await world.run()
+    second = Client(*await soon(asyncio.open_connection(address, port)))
+    assert await second.hand_in("m1") == b"+OK"
+    assert await first.hand_in("m1") == b"+OK"  # known already: one message, whichever front it came by
+    assert await first.hand_in("m2") == b"+OK"
+    await host.call(1)
+    assert sorted(ref for request in host.seen for ref in request.ids) == ["m1", "m2"]
+    assert world.process is not None
+    world.process.send_signal(signal.SIGTERM)
+    assert await soon(second.reader.read()) == b""
+    assert await soon(world.process.wait()) == 0
+
+
+async def test_more_connections_than_there_are_descriptors_for_are_a_mistake(world: World) -> None:
+    await second_front(world, world.sockets)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "mallowlug", "run", "--operator", str(world.folder / "operator.toml"),
+        cwd=ROOT, env=world.environment(), stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    _, told = await soon(process.communicate())
+    assert process.returncode == 2
+    assert b"front: at most 256 connections" in told
+
+
+async def test_without_the_file_one_listener_is_open_and_no_validation_library(world: World) -> None:
+    world.settings["x"] = delivered.__name__  # a word that nobody knows changes nothing
+    await world.run()
+    assert world.process is not None
+    maps = Path(f"/proc/{world.process.pid}/maps").read_text(encoding="utf-8")
+    assert "pydantic" not in maps
+    inodes = {
+        path.readlink().name for path in Path(f"/proc/{world.process.pid}/fd").iterdir() if path.is_symlink()
+    }
+    listening = [
+        line.split()[9]
+        for line in Path("/proc/net/tcp").read_text(encoding="utf-8").splitlines()[1:]
+        if line.split()[3] == "0A"
+    ]
+    assert len([inode for inode in listening if f"socket:[{inode}]" in inodes]) == 1
