--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
 # Each of these does all of its own set-up on a machine that has only Python 3.11 and make.
 VENV := .ci-venv
 PY := $(VENV)/bin/python
-CODE := mallowlug mossfront tests
+CODE := mallowlug mossfront rig tests
 
-.PHONY: test
+.PHONY: demo test
+
+demo: $(VENV)/ready  ## a relay in a world of stand-ins for a minute, live, with an outage and a kill -9
+	$(PY) -m mallowlug rig run scenarios/demo.toml --live
 
 test: $(VENV)/ready  ## lint, layers, types, tests: what CI runs
 	$(VENV)/bin/ruff check $(CODE)
--- a/mallowlug/cli/main.py
+++ b/mallowlug/cli/main.py
@@ -22,19 +22,24 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    """The commands and their arguments."""
+    """The commands and their arguments; the rig's are its own."""
     top = argparse.ArgumentParser(prog="mallowlug", description="A relay for parking-payment messages.")
     commands = top.add_subparsers(dest="command", required=True)
     run = commands.add_parser("run", help="serve in the foreground, as `python -m mallowlug` does")
     run.add_argument("--operator", type=Path, help="the operator file; without one nothing is switched on")
     checked = commands.add_parser("check", help="name every mistake in an operator file")
     checked.add_argument("file", type=Path)
+    commands.add_parser("rig", help="a world of stand-ins on loopback, and the judge of the six rules")
     return top
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one command; its exit code: 0 well, 1 not as wanted, 2 not usable."""
     words = list(sys.argv[1:] if argv is None else argv)
+    if words[:1] == ["rig"]:
+        from rig import cli  # noqa: PLC0415
+
+        return cli.main(words[1:])
     told = parser().parse_args(words)
     if told.command == "check":
         return check(told.file)
--- /dev/null
+++ b/rig/draw.py
@@ -0,0 +1,239 @@
+"""What a scenario's seed draws: endpoints, arrivals, and the words in which a relay is told its settings.
+No I/O.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from rig import record as rec
+from rig.scenario import ClassTable, EventTable, KindTable, Scenario
+
+
+@dataclass(frozen=True, slots=True)
+class HostPlan:
+    """An endpoint as it is drawn. Rates in messages a second, times in seconds."""
+
+    name: str
+    dest: int
+    zone: str
+    kind: KindTable
+    per_s: float  # its limit, or its capacity where it has none
+    capacity_per_s: float
+    servers: int  # messages that it works on at once
+    queue: int  # messages that may wait
+    pace: float  # factor of its service times
+    network_s: float
+    handshake_s: float
+    cold_from: float
+    warm_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A message that a client wants delivered, ``at_s`` after the run's begin."""
+
+    at_s: float
+    relay: int
+    dest: int
+    cls: str
+    member: str
+    order: str
+    size: int
+
+
+def weights_of(scenario: Scenario) -> list[float]:
+    """Each destination's share of the traffic."""
+    raw = [1 / (rank + 1) ** scenario.load.skew for rank in range(scenario.partners.destinations)]
+    return [weight / sum(raw) for weight in raw]
+
+
+def mean_work_s(scenario: Scenario) -> float:
+    """A message's mean time at an endpoint of usual pace."""
+    total = sum(cls.share for cls in scenario.classes)
+    return sum(cls.share * cls.work_ms / 1000 for cls in scenario.classes) / total
+
+
+def hosts_of(scenario: Scenario) -> list[HostPlan]:
+    """Every endpoint; a destination's first has its zone drawn, the others take the next ones in turn."""
+    rng, plans = random.Random(f"hosts {scenario.seed}"), list[HostPlan]()
+    partners, work_s = scenario.partners, mean_work_s(scenario)
+    for dest, weight in enumerate(weights_of(scenario)):
+        busy = weight * partners.destinations  # over 1: more traffic than the mean
+        chances = [kind.share * busy**kind.lean for kind in scenario.kinds]
+        kind = rng.choices(scenario.kinds, chances)[0]
+        count = max(1, round(rng.uniform(*partners.endpoints)))
+        zone = rng.randrange(len(partners.zones))
+        for number in range(count):
+            load = scenario.load.rate_per_s * weight / count
+            per_s = max(rng.uniform(*kind.least_per_s), load * rng.uniform(*kind.headroom))
+            pace = rng.uniform(0.85, 1.1)
+            spare = rng.uniform(1.2, 1.6) if kind.limited else 1.0
+            servers = max(1, math.ceil(per_s * spare * work_s * pace))
+            capacity = servers / (work_s * pace)
+            plans.append(
+                HostPlan(
+                    name=f"h{dest}-{number}",
+                    dest=dest,
+                    zone=partners.zones[(zone + number) % len(partners.zones)],
+                    kind=kind,
+                    per_s=min(per_s, capacity) if kind.limited else capacity,
+                    capacity_per_s=capacity,
+                    servers=servers,
+                    queue=max(2, round(capacity * rng.uniform(*kind.queue_s))),
+                    pace=pace,
+                    network_s=rng.uniform(*partners.network_ms) / 1000,
+                    handshake_s=rng.uniform(*kind.handshake_ms) / 1000,
+                    cold_from=rng.uniform(*partners.cold_from),
+                    warm_s=rng.uniform(*partners.warm_s),
+                )
+            )
+    return plans
+
+
+def arrivals_of(scenario: Scenario) -> list[Arrival]:
+    """Every message in order of time: a Poisson stream, of which a part comes in clumps for one
+    destination.
+    """
+    rng, load = random.Random(f"traffic {scenario.seed}"), scenario.load
+    weights, found, at_s = weights_of(scenario), list[Arrival](), 0.0
+    keys = dict[tuple[int, int], list[str]]()
+    mean = 1 + load.clumps * (load.clump_size - 1)  # messages that one point of the stream brings
+    while (at_s := at_s + rng.expovariate(load.rate_per_s / mean)) < scenario.length_s:
+        dest = rng.choices(range(len(weights)), weights)[0]
+        relay = rng.randrange(scenario.relays.count)
+        for _ in range(load.clump_size if rng.random() < load.clumps else 1):
+            cls = rng.choices(scenario.classes, [item.share for item in scenario.classes])[0]
+            used = [item.share * item.usage for item in scenario.members]
+            member = rng.choices(scenario.members, used)[0]
+            order = drawn_key(rng, keys.setdefault((relay, dest), []), load.key_reuse) if cls.in_order else ""
+            found.append(Arrival(at_s, relay, dest, cls.name, member.name, order, load.body))
+    return found
+
+
+def drawn_key(rng: random.Random, used: list[str], reuse: float) -> str:
+    """A key for order: one of the last few, or a new one."""
+    if used and rng.random() < reuse:
+        return rng.choice(used[-4:])
+    used.append(f"{rng.getrandbits(64):016x}")
+    return used[-1]
+
+
+def struck(scenario: Scenario, hosts: Sequence[HostPlan], event: EventTable, rng: random.Random) -> list[str]:
+    """Endpoints that an outage strikes: one destination's, or some of one zone with ``part`` of the
+    traffic.
+    """
+    if event.dest >= 0:
+        return [plan.name for plan in hosts if plan.dest == event.dest]
+    weights, zone = weights_of(scenario), rng.choice(scenario.partners.zones)
+    inside = sorted({plan.dest for plan in hosts if plan.zone == zone})
+    rng.shuffle(inside)
+    chosen, sum_ = set[int](), 0.0
+    for dest in inside:
+        if not chosen or sum_ + weights[dest] <= event.part:
+            chosen.add(dest)
+            sum_ += weights[dest]
+    return [plan.name for plan in hosts if plan.dest in chosen]
+
+
+def head_of(scenario: Scenario) -> rec.Head:
+    """The facts by which a record of the run is judged."""
+    rate, total = scenario.load.rate_per_s, sum(member.share for member in scenario.members)
+    rules = scenario.rules
+    return rec.Head(
+        at=0,
+        name=scenario.name,
+        seed=scenario.seed,
+        classes=[facts_of(cls) for cls in scenario.classes],
+        kinds=[rec.KindFacts(kind.name, kind.apart, kind.batch) for kind in scenario.kinds],
+        members=[rec.MemberFacts(m.name, rate * m.share / total) for m in scenario.members],
+        figures=rec.Figures(
+            drain_grace_us=round(rules.drain_grace_s * 1e6),
+            ask_within_us=round(rules.ask_within_s * 1e6),
+            fall_multiple=rules.fall_multiple,
+            fall_us=round(rules.fall_s * 1e6),
+            order_pause_us=round(rules.order_pause_s * 1e6),
+        ),
+        scenario=scenario.model_dump(by_alias=True, mode="json"),
+    )
+
+
+def facts_of(cls: ClassTable) -> rec.ClassFacts:
+    """A class in the record's words."""
+    return rec.ClassFacts(
+        name=cls.name,
+        effect=cls.effect,
+        aim_us=round(cls.aim_s * 1e6),
+        deadline_us=round(cls.deadline_s * 1e6),
+        worth=cls.worth,
+        late_worth=cls.late_worth,
+        window_us=round(cls.window_s * 1e6),
+        by_zone=cls.by_zone,
+        in_order=cls.in_order,
+    )
+
+
+def settings_of(scenario: Scenario) -> dict[str, Any]:
+    """What a relay is told, in the platform's words (its deployment and wire pages)."""
+    head, share = head_of(scenario), 1 / scenario.relays.count
+    busy = scenario.load.rate_per_s * mean_work_s(scenario) * share
+    rules, figures = scenario.rules, head.figures
+    return {
+        "accounts": [
+            {"name": m.name, "quota_per_s": m.quota_per_s, "share": plan.share}
+            for m, plan in zip(head.members, scenario.members, strict=True)
+        ],
+        "allowed": {
+            "cancel": True,
+            "connect_timeout_us": 1_000_000,
+            "keepalive_us": round(scenario.partners.idle_s * 1e6),
+            "max_retry_after_us": round(rules.max_retry_after_s * 1e6),
+            "may_duplicate": True,
+            "most_tries": rules.max_attempts,
+            "open_cap": max(8, round(scenario.relays.hold_s * scenario.load.rate_per_s * share)),
+            "probes": False,
+            "retry_after": True,
+        },
+        "discovery": "ask",
+        "domain": {
+            "batch_by_kind": [kind.batch for kind in scenario.kinds],
+            "calls_out": max(3, round(scenario.relays.slots_room * busy)),
+            "decay": "line",
+            "kind_apart": [kind.apart for kind in scenario.kinds],
+            "toll": [0.0 for _ in scenario.partners.zones],
+        },
+        "group_size": scenario.relays.count,
+        "machine_types": [kind.name for kind in scenario.kinds],
+        "over_share_worth": figures.over_share_worth,
+        "request_classes": [
+            {
+                "name": cls.name,
+                "effect": cls.effect,
+                "aim_us": cls.aim_us,
+                "deadline_us": cls.deadline_us,
+                "worth": cls.worth,
+                "late_worth": cls.late_worth,
+                "dedup_window_us": cls.window_us,
+                "key_scope": "zone" if cls.by_zone else "all",
+                "by_arrival": cls.in_order,
+            }
+            for cls in head.classes
+        ],
+        "round_us": 5000,
+        "rules": {
+            "ask_within_us": figures.ask_within_us,
+            "cold_from": scenario.partners.cold_from[0],
+            "drain_grace_us": figures.drain_grace_us,
+            "fall_multiple": figures.fall_multiple,
+            "fall_us": figures.fall_us,
+            "grace_to_answer_us": 20_000,
+            "order_pause_us": figures.order_pause_us,
+            "warm_within_us": round(scenario.partners.warm_s[1] * 1e6),
+        },
+        "weights": "off",
+        "zones": list(scenario.partners.zones),
+    }
--- /dev/null
+++ b/rig/host_model.py
@@ -0,0 +1,163 @@
+"""How a stand-in endpoint fares with what it is sent: limit, queue, waits, cold return, keys. No I/O, no
+clock.
+
+Times are seconds of whatever clock the caller uses; it only has to go forward.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Literal
+
+from rig import cold
+from rig.draw import HostPlan
+
+BURST_S = 0.5  # of a limit's rate that may come at once
+ITEM_COST = 0.15  # work of a further message in a call, as a share of its own
+
+
+class KeyMemory:
+    """The idempotency keys that a destination's endpoints of one zone remember."""
+
+    def __init__(self) -> None:
+        self._until: dict[str, float] = {}
+
+    def first(self, key: str, window_s: float, now_s: float) -> bool:
+        """Whether the key is new; from then on it is remembered for the window."""
+        if self._until.get(key, 0.0) > now_s:
+            return False
+        self._until[key] = now_s + window_s
+        if len(self._until) > 50_000:
+            self._until = {known: until for known, until in self._until.items() if until > now_s}
+        return True
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One call's work; ``work_s`` is what it takes at usual pace."""
+
+    call: int
+    size: int
+    work_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Turned away, with a wait (seconds) or without."""
+
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class HostModel:
+    """One endpoint. ``offer`` takes a call in or refuses it, ``done`` frees its server for the next one."""
+
+    plan: HostPlan
+    rng: random.Random
+    fall_multiple: float = 1.5
+    fall_s: float = 3.0
+    state: Literal["up", "refuse", "silent", "shut", "fallen"] = "up"
+    slow: float = 1.0
+    opens_s: float = 0.0  # while shut: when it opens
+    running: int = 0
+    queue: deque[Job] = field(default_factory=deque)
+    tokens: float = 1.0
+    tokens_s: float = 0.0
+    back: cold.Return | None = None
+    recent: deque[tuple[int, float]] = field(default_factory=deque)
+
+    def share(self, now_s: float) -> float:
+        """The share of its capacity that it has just now."""
+        return self.back.share(now_s * 1e6) if self.back else 1.0
+
+    def returned(self, now_s: float, emptied: bool) -> None:
+        """An outage is over: it is up and cold; ``emptied`` of all that it was working on, or not."""
+        plan = self.plan
+        self.state, self.slow = "up", 1.0
+        self.recent.clear()
+        if emptied:
+            self.running = 0
+            self.queue.clear()
+        self.back = cold.Return(round(now_s * 1e6), plan.per_s, plan.cold_from, round(plan.warm_s * 1e6))
+
+    def falls(self, size: int, now_s: float) -> bool:
+        """Take an arrival into account; whether it pushes a cold endpoint over."""
+        if self.back is None:
+            return False
+        if now_s * 1e6 > self.back.at_us + self.back.warm_us:
+            self.back = None
+            return False
+        self.recent.append((round(now_s * 1e6), cold.work_of(size, ITEM_COST)))
+        found = cold.overrun(self.back, list(self.recent), self.fall_multiple, round(self.fall_s * 1e6))
+        if found is None:
+            return False
+        self.state = "fallen"
+        return True
+
+    def _refusal(self, wait_s: float) -> Refusal:
+        return Refusal(wait_s if self.rng.random() < self.plan.kind.tells_wait else 0.0)
+
+    def _refill(self, now_s: float) -> None:
+        rate = self.plan.per_s * self.share(now_s)
+        self.tokens = min(max(1.0, rate * BURST_S), self.tokens + (now_s - self.tokens_s) * rate)
+        self.tokens_s = now_s
+
+    def offer(self, job: Job, now_s: float) -> Refusal | float | None:
+        """Take a call in: a refusal, the seconds that it takes from now on, or None where it waits in
+        line.
+        """
+        if self.state == "shut":
+            return self._refusal(max(0.05, self.opens_s - now_s))
+        if self.plan.kind.limited:
+            self._refill(now_s)
+            if self.tokens < 1.0:
+                if self.plan.kind.refused_count:
+                    self.tokens -= 1.0
+                low, high = self.plan.kind.wait_ms
+                rate = self.plan.per_s * self.share(now_s)
+                return self._refusal(max(self.rng.uniform(low, high) / 1000, (1 - self.tokens) / rate))
+            self.tokens -= 1.0
+        if self.running < self.plan.servers:
+            self.running += 1
+            return self.takes(job, now_s)
+        if len(self.queue) >= self.plan.queue:
+            return Refusal()
+        self.queue.append(job)
+        return None
+
+    def takes(self, job: Job, now_s: float) -> float:
+        """How long a job runs: its own work at this endpoint's pace, slower while it is slow or cold."""
+        return job.work_s * self.plan.pace * self.slow / max(0.05, self.share(now_s))
+
+    def done(self, now_s: float) -> tuple[Job, float] | None:
+        """A job has ended: the next one in line and how long it takes."""
+        if not self.queue:
+            self.running = max(0, self.running - 1)
+            return None
+        job = self.queue.popleft()
+        return job, self.takes(job, now_s)
+
+    def report(self, now_s: float) -> tuple[float, float] | None:
+        """The load report: share of the limit that is left, and the limit in calls a second."""
+        if not self.plan.kind.limited:
+            return None
+        self._refill(now_s)
+        rate = self.plan.per_s * self.share(now_s)
+        noise = self.rng.uniform(0.95, 1.05)
+        return min(1.0, max(0.0, self.tokens / max(1.0, rate * BURST_S))), rate * noise
+
+
+def work_of(works: Sequence[float], rng: random.Random) -> float:
+    """What a call takes: the longest of its messages whole, of the others a part; each spread by exp."""
+    drawn = sorted((rng.expovariate(1 / work) for work in works), reverse=True)
+    return drawn[0] + ITEM_COST * sum(drawn[1:])
+
+
+def effects(
+    memory: KeyMemory, keys: Iterable[tuple[str, float]], now_s: float
+) -> list[bool]:
+    """For each message with its key (empty: none) and window, whether it takes effect now."""
+    return [not key or memory.first(key, window_s, now_s) for key, window_s in keys]
--- /dev/null
+++ b/rig/relays.py
@@ -0,0 +1,155 @@
+"""The relays under test, as processes of their own: started, signalled and killed, each with its folder."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from rig import record as rec
+
+ROOT = Path(__file__).resolve().parent.parent
+MOST_STARTS = 5
+READY_S = 30.0  # s in which a relay has to answer PING
+TERM_S = 3.7  # s after SIGTERM when SIGKILL follows
+PING = b"*1\r\n$4\r\nPING\r\n"
+PLAIN = (sys.executable, "-m", "mallowlug")
+
+
+class RelayError(Exception):
+    """A relay did not come up."""
+
+
+def free_address() -> tuple[str, int]:
+    """A port on loopback that nothing listens on just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        found: tuple[str, int] = sock.getsockname()
+        return found
+
+
+class RelayProcess:
+    """One relay: its process now, and the folder that outlasts it."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        writer: rec.Writer,
+        config: Callable[[], dict[str, Any]],
+        *,
+        command: Sequence[str] = PLAIN,
+        environment: Callable[[int], dict[str, str]] = lambda _life: {},
+    ) -> None:
+        self.name, self.folder, self._writer, self._config = name, folder, writer, config
+        self.command, self._environment, self.lives = tuple(command), environment, 0
+        self.address = free_address()
+        self.state = folder / "state"
+        self.state.mkdir(parents=True)
+        self.process: asyncio.subprocess.Process | None = None
+        self.expected = True  # whether its end would be ours: so it is until it is ready
+
+    def note(self, what: Any, detail: str = "") -> None:
+        """Write down what happens to it."""
+        self._writer.add(rec.Process(self._writer.now, self.name, what, detail))
+
+    def write_config(self) -> None:
+        """The deployment's file, as it is now."""
+        told = self._config() | {"name": self.name, "listen": "{}:{}".format(*self.address)}
+        (self.folder / "config.json").write_text(json.dumps(told), encoding="utf-8")
+
+    async def start(self) -> None:
+        """Start it and wait until it answers; ``RelayError`` where it does not."""
+        self.write_config()
+        self.expected = True
+        told = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.state)}
+        beside, self.lives = self._environment(self.lives), self.lives + 1
+        self.note("start")
+        with (self.folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, cwd=ROOT, env=os.environ | told | beside, stderr=log, stdout=log
+            )
+        if not await self._ready(self.process):
+            raise RelayError(f"{self.name} did not come up; its log is {self.folder / 'log'}")
+        self.expected = False
+
+    async def up(self, pause_s: float) -> int:
+        """Start it, and again where it ends before it answers; how often it did so.
+
+        ``RelayError`` where it hangs, or has ended ``MOST_STARTS`` times.
+        """
+        for ended in range(MOST_STARTS):
+            try:
+                await self.start()
+                return ended
+            except RelayError:
+                if self.process is None or self.process.returncode is None:
+                    raise
+                await self.ended()
+                await asyncio.sleep(pause_s)
+        raise RelayError(f"{self.name} ended {MOST_STARTS} times before it answered")
+
+    async def _ready(self, process: asyncio.subprocess.Process) -> bool:
+        loop = asyncio.get_running_loop()
+        last_s = loop.time() + READY_S
+        while loop.time() < last_s and process.returncode is None:
+            try:
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(PING)
+                async with asyncio.timeout(1.0):
+                    answer = await reader.readline()
+                writer.close()
+                if answer == b"+PONG\r\n":
+                    self.note("ready")
+                    return True
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.02)
+        return False
+
+    async def ended(self) -> int:
+        """Wait for the process's end and write it down."""
+        assert self.process is not None
+        code = await self.process.wait()
+        self.note("exit", str(code))
+        return code
+
+    async def kill(self) -> None:
+        """SIGKILL."""
+        await self._end(signal.SIGKILL, "kill")
+
+    async def _end(self, number: signal.Signals, what: str) -> None:
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.expected = True
+        self.note(what)
+        self.process.send_signal(number)
+        try:
+            async with asyncio.timeout(TERM_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+        await self.ended()
+
+    async def term(self) -> None:
+        """SIGTERM, and SIGKILL where it lasts too long."""
+        await self._end(signal.SIGTERM, "term")
+
+    def hup(self) -> None:
+        """Replace the file and send SIGHUP."""
+        if self.process is not None and self.process.returncode is None:
+            self.write_config()
+            self.note("hup")
+            self.process.send_signal(signal.SIGHUP)
+
+    def wipe(self) -> None:
+        """The machine is lost with its folder."""
+        shutil.rmtree(self.state)
+        self.state.mkdir()
+        self.note("wiped")
--- /dev/null
+++ b/rig/rules.py
@@ -0,0 +1,558 @@
+"""The judge: a pure function from a record to the breaches of the six rules.
+
+It reads nothing but the record and shares no code with the relay. Each rule is a class of its own that walks
+the events once and keeps its own books; ``judge`` runs them all. The wordings are BRIEF's and PROTOCOL's
+("The rules on sockets"); where a wording leaves room, the docstring of the rule says how it is read here.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Literal
+
+from rig import cold
+from rig import record as rec
+
+RULES = ("lost", "twice", "drains", "returns", "order", "waits")
+SEEN_US = 250_000  # how late the rig may see that a process has ended by itself
+NEVER = frozenset(("refused", "over", "unsent"))  # ends that prove that an attempt did not run
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """One broken rule: when (us of the run), by which relay, which messages, and the figures that show it."""
+
+    rule: str
+    at_us: int
+    relay: str
+    ids: tuple[str, ...]
+    detail: str
+
+    def __str__(self) -> str:
+        ids = ", ".join(self.ids[:4]) + (" ..." if len(self.ids) > 4 else "")
+        return f"{self.at_us / 1e6:9.3f} s  {self.rule}: {self.relay}: {ids}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What can be said of a record. ``checked`` counts, by rule, the cases in which it could have been
+    broken.
+    """
+
+    state: Literal["kept", "broken", "unknown"]
+    breaches: tuple[Breach, ...]
+    checked: dict[str, int]
+    reasons: tuple[str, ...] = ()  # why it is unknown
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One message's part in one call."""
+
+    call: int
+    host: str
+    zone: str
+    began_us: int
+    came_us: int
+    end: str = ""  # what the answer proved
+    ended_us: int = -1  # answered, or its connection gone
+    answered: bool = False
+
+    def never_ran(self) -> bool:
+        """Whether it is proved, by now, that it had no effect."""
+        return self.end in NEVER
+
+
+@dataclass(slots=True)
+class Message:
+    """One message as it was handed in, and everything that became of it."""
+
+    ask: rec.Ask
+    cls: rec.ClassFacts | None
+    number: int
+    taken_us: int = -1
+    said: rec.Said | None = None
+    delivered_us: int = -1
+    notices: list[rec.Notice] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    wiped: bool = False
+
+    @property
+    def due_us(self) -> int:
+        """When its time is up."""
+        return self.ask.at + self.ask.left_us
+
+    @property
+    def end_us(self) -> int:
+        """When it ended for its client; -1 where it has not."""
+        ends = [self.delivered_us] * (self.delivered_us >= 0) + [notice.at for notice in self.notices]
+        return min(ends, default=-1)
+
+
+class Books:
+    """What every rule needs to know, kept in step with the events."""
+
+    def __init__(self, head: rec.Head) -> None:
+        self.head, self.figures = head, head.figures
+        self.classes = {cls.name: cls for cls in head.classes}
+        self.kinds = {kind.name: kind for kind in head.kinds}
+        self.hosts: dict[str, rec.Host] = {}
+        self.messages: dict[str, Message] = {}
+        self.calls: dict[int, list[tuple[Message, Attempt]]] = {}
+        self.call_of: dict[int, rec.Call] = {}
+        self.away: dict[str, list[list[int]]] = defaultdict(list)  # by relay: from its end to ready again
+        self.cut_off: dict[str, list[list[int]]] = defaultdict(list)  # by relay: out of the platform's reach
+        self.end_us = 0
+
+    def route(self, host: str) -> str:
+        """What shares waits and cold returns with an endpoint."""
+        known = self.hosts[host]
+        kind = self.kinds.get(known.kind)
+        return host if kind is None or kind.apart else f"dest {known.dest}"
+
+    def relay_of(self, call: rec.Call) -> str:
+        """Who made a call: the relay that its messages were handed to."""
+        asked = [self.messages[ref].ask.relay for ref in call.ids if ref in self.messages]
+        return asked[0] if asked else ""
+
+    def restarted(self, relay: str, start_us: int, end_us: int) -> bool:
+        """Whether a life of the relay ended between two times."""
+        return any(start_us <= window[0] <= end_us for window in self.away[relay])
+
+    def take(self, event: rec.AnyEvent) -> None:
+        """Keep the books."""
+        self.end_us = max(self.end_us, event.at)
+        match event:
+            case rec.Host():
+                self.hosts[event.host] = event
+            case rec.Ask():
+                if event.id not in self.messages:  # written once more on a new connection: the same message
+                    cls = self.classes.get(event.cls)
+                    self.messages[event.id] = Message(event, cls, len(self.messages))
+            case rec.Said() if event.id in self.messages:
+                message = self.messages[event.id]
+                message.said = event
+                if event.what == "taken" and message.taken_us < 0:
+                    message.taken_us = event.at
+            case rec.Call():
+                self._call(event)
+            case rec.Answer():
+                for message, attempt in self.calls.get(event.call, []):
+                    attempt.end = event.ends.get(message.ask.id, "")
+                    attempt.ended_us, attempt.answered = event.at, True
+                    if attempt.end == "delivered" and message.delivered_us < 0:
+                        message.delivered_us = event.at
+            case rec.Gone():
+                for _, attempt in self.calls.get(event.call, []):
+                    if attempt.ended_us < 0:
+                        attempt.ended_us = event.at
+            case rec.Notice() if event.id in self.messages:
+                self.messages[event.id].notices.append(event)
+            case rec.Process():
+                self._process(event)
+            case rec.Reach():
+                windows = self.cut_off[event.relay]
+                if not event.open and (not windows or windows[-1][1] >= 0):
+                    windows.append([event.at, -1])
+                elif event.open and windows and windows[-1][1] < 0:
+                    windows[-1][1] = event.at
+
+    def _call(self, event: rec.Call) -> None:
+        host, parts = self.hosts.get(event.host), list[tuple[Message, Attempt]]()
+        for ref in event.ids:
+            if message := self.messages.get(ref):
+                zone = host.zone if host else ""
+                attempt = Attempt(event.call, event.host, zone, event.began, event.at)
+                message.attempts.append(attempt)
+                parts.append((message, attempt))
+        self.calls[event.call], self.call_of[event.call] = parts, event
+
+    def _process(self, event: rec.Process) -> None:
+        windows = self.away[event.relay]
+        if event.what in ("term", "kill", "exit"):
+            if not windows or windows[-1][1] >= 0:  # an end that nobody ordered is seen some time after it
+                windows.append([event.at - SEEN_US * (event.what == "exit"), -1])
+        elif event.what == "ready" and windows and windows[-1][1] < 0:
+            windows[-1][1] = event.at
+        elif event.what == "wiped":
+            for message in self.messages.values():
+                message.wiped |= message.ask.relay == event.relay
+
+
+class Rule:
+    """One rule: sees each event after the books have it, and speaks at the end."""
+
+    name = ""
+
+    def __init__(self, books: Books) -> None:
+        self.books, self.checked = books, 0
+        self.breaches: list[Breach] = []
+        self.undecided: list[str] = []
+
+    def see(self, event: rec.AnyEvent) -> None:
+        """Take an event in."""
+
+    def close(self) -> None:
+        """The record has ended."""
+
+    def broken(self, at_us: int, relay: str, ids: Iterable[str], detail: str) -> None:
+        """Note a breach."""
+        self.breaches.append(Breach(self.name, at_us, relay, tuple(ids), detail))
+
+
+def refusal(event: rec.Notice | rec.Said) -> bool:
+    """Whether a client was told that a retry is harmless."""
+    return event.result == "bounced" if isinstance(event, rec.Notice) else event.what == "refused"
+
+
+class Lost(Rule):
+    """Each message that was taken on ends once: delivered, or by a notice, 300 ms after its time at the
+    latest.
+
+    No notice is overdue from the end of a life until 1.5 s after the relay is ready again, nor while nothing
+    passes between relay and platform, until 1.5 s after it does. A wiped folder frees the relay of what it
+    held. Two notices with different results are two ends; a repeated notice is not. A connection that ends
+    with a whole request unanswered loses it too, unless that was the first request on it or the process was
+    being ended.
+    """
+
+    name = "lost"
+
+    def close(self) -> None:
+        for message in self.books.messages.values():
+            if message.taken_us >= 0 and not message.wiped:
+                self.checked += 1
+                self._taken(message)
+            elif message.said is not None and message.said.what == "cut" and not message.said.fresh:
+                self.checked += 1
+                self._cut(message, message.said)
+
+    def _taken(self, message: Message) -> None:
+        ask, limit = message.ask, self._limit(message)
+        results = {notice.result for notice in message.notices}
+        if len(results) > 1:
+            last = message.notices[-1].at
+            self.broken(last, ask.relay, [ask.id], f"two ends: {' and '.join(sorted(results))}")
+        if limit < 0 or (message.end_us < 0 and limit > self.books.end_us):
+            if message.end_us < 0:
+                self.undecided.append(f"lost: {ask.id} has no end, and its time was not up")
+            return
+        if message.end_us < 0:
+            self.broken(limit, ask.relay, [ask.id], "taken on, and neither delivered nor ended by a notice")
+        elif message.end_us > limit:
+            late_ms = (message.end_us - limit) / 1000
+            self.broken(message.end_us, ask.relay, [ask.id], f"its end came {late_ms:.0f} ms too late")
+
+    def _limit(self, message: Message) -> int:
+        """When its end is overdue; -1 where the relay never came back."""
+        figures = self.books.figures
+        limit = message.due_us + figures.answer_grace_us + figures.slack_us
+        relay = message.ask.relay
+        for end, ready in sorted(self.books.away[relay] + self.books.cut_off[relay]):
+            until = ready + figures.ready_grace_us if ready >= 0 else -1
+            if end <= limit and (until < 0 or limit < until):
+                limit = until
+                if limit < 0:
+                    break
+        return limit
+
+    def _cut(self, message: Message, said: rec.Said) -> None:
+        ask, grace = message.ask, self.books.figures.ready_grace_us
+        for end, ready in self.books.away[ask.relay]:
+            if end <= said.at and (ready < 0 or ask.at <= ready + grace):
+                return
+        self.broken(said.at, ask.relay, [ask.id], "its connection ended without an answer")
+
+
+class Twice(Rule):
+    """No effect twice: a new try only when the class allows one, a refusal only when a retry is harmless.
+
+    An attempt may have run unless an answer proved before the next one's first byte that it did not. A keyed
+    message may go again within its window from the first attempt that may have run, to the same zone where
+    its key counts by zone. What the endpoints saw themselves counts too: two effects of one id.
+    """
+
+    name = "twice"
+
+    def __init__(self, books: Books) -> None:
+        super().__init__(books)
+        self._effects: dict[str, int] = defaultdict(int)
+
+    def see(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Call):
+            for message, attempt in self.books.calls[event.call]:
+                self._again(event, message, [a for a in message.attempts if a is not attempt])
+        elif isinstance(event, rec.Ran):
+            self._ran(event)
+        elif isinstance(event, rec.Notice | rec.Said) and refusal(event):
+            self._handed_back(event.at, self.books.messages.get(event.id))
+
+    def _again(self, call: rec.Call, message: Message, earlier: list[Attempt]) -> None:
+        cls, figures = message.cls, self.books.figures
+        if not earlier or cls is None:
+            return
+        self.checked += 1
+        risky = [a for a in earlier if not a.never_ran() or a.ended_us > call.began]
+        if not risky:
+            return
+        relay, ids = message.ask.relay, [message.ask.id]
+        first = min(risky, key=lambda attempt: attempt.came_us)
+        if cls.effect == "unsafe":
+            self.broken(call.at, relay, ids, "sent again though an earlier try may have run")
+        elif cls.effect == "keyed":
+            age_us = call.at - first.came_us
+            zone = self.books.hosts[call.host].zone
+            if cls.by_zone and zone != first.zone:
+                self.broken(call.at, relay, ids, f"sent again to {zone}, its key is known in {first.zone}")
+            elif age_us > cls.window_us + figures.slack_us:
+                self.broken(call.at, relay, ids, f"sent again, {age_us / 1e6:.2f} s after a try")
+        elif not figures.may_duplicate and any(a.ended_us < 0 for a in risky):
+            self.broken(call.at, relay, ids, "a second copy while one was out")
+
+    def _ran(self, event: rec.Ran) -> None:
+        message = self.books.messages.get(event.id)
+        if message is None or message.cls is None or message.cls.effect == "safe" or not event.effect:
+            return
+        self._effects[event.id] += 1
+        if self._effects[event.id] == 2:
+            self.broken(event.at, message.ask.relay, [event.id], "took effect twice")
+
+    def _handed_back(self, at_us: int, message: Message | None) -> None:
+        """A refusal says that a retry is harmless, so nothing may have run that a retry would repeat."""
+        if message is None or message.cls is None or message.cls.effect == "safe":
+            return
+        self.checked += 1
+        risky = [a for a in message.attempts if not a.never_ran()]
+        anywhere = message.cls.effect == "keyed" and not message.cls.by_zone
+        if risky and not anywhere:
+            ids = [message.ask.id]
+            self.broken(at_us, message.ask.relay, ids, "refused though a try may have run")
+
+
+class Drains(Rule):
+    """Nothing new to an endpoint later than the grace after the relay was told that it drains or is gone.
+
+    A send counts from its first byte. A change counts as told when it was written to the relay, or when the
+    relay has had no watch for as long as it must ask.
+    """
+
+    name = "drains"
+
+    def __init__(self, books: Books) -> None:
+        super().__init__(books)
+        self._told: dict[tuple[str, str], int] = {}  # by relay and endpoint: told since, unless it is ready
+        self._listed: dict[str, int] = {}  # by endpoint: not ready since
+        self._blind: dict[str, int] = {}  # by relay: without a watch since
+
+    def see(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Told):
+            if event.state == "ready":
+                self._told.pop((event.relay, event.host), None)
+            else:
+                self.checked += 1
+                self._told.setdefault((event.relay, event.host), event.at)
+        elif isinstance(event, rec.Listed):
+            if event.state == "ready":
+                self._listed.pop(event.host, None)
+            else:
+                self._listed.setdefault(event.host, event.at)
+        elif isinstance(event, rec.Watch):
+            if event.open:
+                self._blind.pop(event.relay, None)
+            else:
+                self._blind.setdefault(event.relay, event.at)
+        elif isinstance(event, rec.Call):
+            self._call(event)
+
+    def _call(self, call: rec.Call) -> None:
+        figures, relay = self.books.figures, self.books.relay_of(call)
+        told = [self._told[relay, call.host]] if (relay, call.host) in self._told else []
+        if call.host in self._listed and relay in self._blind:
+            told.append(max(self._listed[call.host], self._blind[relay]) + figures.ask_within_us)
+        if not told:
+            return
+        late_us = call.began - min(told) - figures.drain_grace_us - figures.slack_us
+        if late_us > 0:
+            since_ms = (call.began - min(told)) / 1000
+            self.broken(call.began, relay, call.ids, f"sent to {call.host}, told {since_ms:.0f} ms ago")
+
+
+class Returns(Rule):
+    """A destination that returns cold is not pushed over (``rig/cold.py`` has the budget).
+
+    One that falls over while it is cold was pushed over, whatever the window says. A breach only if two
+    thirds of the window's messages came from relays that saw a call fail or be refused there during the
+    outage. A refused connection leaves no trace at a listener that is closed, so a relay that had a message
+    open for the destination in the outage counts as having seen one.
+    """
+
+    name = "returns"
+
+    def __init__(self, books: Books) -> None:
+        super().__init__(books)
+        self._out: dict[str, int] = {}
+        self._fell: dict[str, list[int]] = defaultdict(list)
+        self._outages: list[tuple[str, int, cold.Return]] = []  # route, when it began, how it came back
+        self._arrivals: dict[str, list[tuple[int, float, str]]] = defaultdict(list)
+
+    def see(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Life) and event.host in self.books.hosts:
+            route = self.books.route(event.host)
+            if event.state == "fell":
+                self._fell[route].append(event.at)
+            if event.state != "back":
+                self._out.setdefault(route, event.at)
+            elif route in self._out:
+                per_s = sum(h.per_s for h in self.books.hosts.values() if self.books.route(h.host) == route)
+                back = cold.Return(event.at, per_s, event.cold_from, event.warm_us)
+                self._outages.append((route, self._out.pop(route), back))
+        elif isinstance(event, rec.Call) and event.host in self.books.hosts:
+            kind = self.books.kinds.get(self.books.hosts[event.host].kind)
+            work = cold.work_of(len(event.ids), kind.item_cost if kind else 1.0)
+            arrival = (event.at, work, self.books.relay_of(event))
+            self._arrivals[self.books.route(event.host)].append(arrival)
+
+    def close(self) -> None:
+        for route, out_us, back in self._outages:
+            self.checked += 1
+            self._judge(route, out_us, back)
+
+    def _judge(self, route: str, out_us: int, back: cold.Return) -> None:
+        figures, arrivals = self.books.figures, self._arrivals[route]
+        plain = [(at, number) for at, number, _ in arrivals]
+        found = cold.overrun(back, plain, figures.fall_multiple, figures.fall_us + figures.slack_us)
+        span_us = figures.fall_us + figures.slack_us
+        fell = min((at for at in self._fell[route] if at >= back.at_us), default=-1)
+        if 0 <= fell <= back.at_us + back.warm_us and (found is None or fell < found[0] + span_us):
+            start = max(back.at_us, fell - span_us)
+            came = sum(work for _, work in cold.within(plain, start, fell + 1))
+            found = start, came, back.budget(start, figures.fall_multiple, figures.fall_us)
+        if found is None:
+            return
+        start, came, budget = found
+        end = start + span_us
+        seen = self._seen(route, out_us, back.at_us)
+        by = {relay: 0.0 for _, _, relay in arrivals}
+        for at, number, relay in arrivals:
+            by[relay] += number * (start <= at < end)
+        guilty = sum(number for relay, number in by.items() if relay in seen)
+        if 3 * guilty >= 2 * came:
+            worst = max(by, key=lambda relay: by[relay])
+            detail = f"{route} got {came:.1f} in a window for {budget:.1f}, {guilty:.1f} from who knew"
+            self.broken(start, worst, [route], detail)
+
+    def _seen(self, route: str, out_us: int, back_us: int) -> set[str]:
+        """Relays that saw a call fail or be refused there during the outage, or must have."""
+        seen = set[str]()
+        for message in self.books.messages.values():
+            here = [a for a in message.attempts if self.books.route(a.host) == route]
+            failed = any(
+                a.came_us < back_us and out_us <= (a.ended_us if a.ended_us >= 0 else back_us)
+                and a.end != "delivered"
+                for a in here
+            )  # fmt: skip
+            end_us = message.end_us if message.end_us >= 0 else self.books.end_us
+            dests = {h.dest for h in self.books.hosts.values() if self.books.route(h.host) == route}
+            waited = message.taken_us >= 0 and message.ask.at < back_us and end_us > out_us
+            if failed or (waited and message.ask.dest in dests and not here):
+                seen.add(message.ask.relay)
+        return seen
+
+
+class Order(Rule):
+    """In a class with order, messages of one key go out singly, in the order in which the relay took them on.
+
+    None goes while an earlier one is unfinished or has a try whose outcome is open; after a time-out, a reset
+    or a cancel the key rests for the stated pause. A refusal or failure may come out of turn.
+    """
+
+    name = "order"
+
+    def __init__(self, books: Books) -> None:
+        super().__init__(books)
+        self._keys: dict[tuple[str, str, str], list[Message]] = defaultdict(list)
+
+    def see(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Said) and event.what == "taken":
+            message = self.books.messages.get(event.id)
+            if message and message.cls and message.cls.in_order and message.ask.order:
+                queue = self._keys[message.ask.relay, message.cls.name, message.ask.order]
+                if message not in queue:
+                    queue.append(message)
+        elif isinstance(event, rec.Call):
+            for message, _ in self.books.calls[event.call]:
+                if message.cls and message.cls.in_order and message.ask.order:
+                    self._sent(event, message)
+
+    def _sent(self, call: rec.Call, message: Message) -> None:
+        figures, ask = self.books.figures, message.ask
+        queue = self._keys[ask.relay, ask.cls, ask.order]
+        earlier = queue[: queue.index(message)] if message in queue else queue
+        for other in earlier:
+            self.checked += 1
+            if other.ask.at > ask.at:  # handed in later, and only its answer was read first
+                continue
+            if not 0 <= other.end_us <= call.began + figures.slack_us:
+                detail = f"sent while {other.ask.id} before it was unfinished"
+                self.broken(call.began, ask.relay, [ask.id, other.ask.id], detail)
+                return
+            for attempt in other.attempts:
+                rest_us = 0 if attempt.answered else figures.order_pause_us
+                if attempt.ended_us < 0 or call.began < attempt.ended_us + rest_us - figures.slack_us:
+                    detail = f"sent while a try of {other.ask.id} was open"
+                    self.broken(call.began, ask.relay, [ask.id, other.ask.id], detail)
+                    return
+
+
+class Waits(Rule):
+    """Told to wait, a relay sends nothing to that route until the wait is over, for any message.
+
+    A wait runs from when its answer was written; what comes within 100 ms of that is let through, and a
+    restart ends it.
+    """
+
+    name = "waits"
+
+    def __init__(self, books: Books) -> None:
+        super().__init__(books)
+        self._waits: dict[tuple[str, str], list[tuple[int, int]]] = defaultdict(list)
+
+    def see(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Answer) and event.wait_us > 0 and not event.spoilt:
+            call = self.books.call_of.get(event.call)
+            if call is not None and call.host in self.books.hosts:
+                route = self.books.route(call.host)
+                self._waits[self.books.relay_of(call), route].append((event.at, event.at + event.wait_us))
+        elif isinstance(event, rec.Call) and event.host in self.books.hosts:
+            self._call(event)
+
+    def _call(self, call: rec.Call) -> None:
+        relay, route = self.books.relay_of(call), self.books.route(call.host)
+        for told_us, until_us in self._waits[relay, route]:
+            self.checked += 1
+            told_long_ago = call.at > told_us + self.books.figures.wait_grace_us
+            if told_long_ago and call.at < until_us and not self.books.restarted(relay, told_us, call.at):
+                left_ms = (until_us - call.at) / 1000
+                self.broken(call.at, relay, call.ids, f"sent to {route}, {left_ms:.0f} ms of its wait left")
+                return
+        self._waits[relay, route] = [w for w in self._waits[relay, route] if w[1] > call.at]
+
+
+def judge(record: rec.Record) -> Verdict:
+    """Every breach in order of time; ``kept`` only of a whole record with every message judged."""
+    books = Books(record.head)
+    rules: list[Rule] = [rule(books) for rule in (Lost, Twice, Drains, Returns, Order, Waits)]
+    for event in record.events:
+        books.take(event)
+        for rule in rules:
+            rule.see(event)
+    for rule in rules:
+        rule.close()
+    breaches = sorted((b for rule in rules for b in rule.breaches), key=lambda breach: breach.at_us)
+    reasons = [reason for rule in rules for reason in rule.undecided]
+    if not record.whole:
+        reasons.insert(0, "the record is truncated")
+    state: Literal["kept", "broken", "unknown"] = "broken" if breaches else "unknown" if reasons else "kept"
+    return Verdict(state, tuple(breaches), {rule.name: rule.checked for rule in rules}, tuple(reasons))
--- /dev/null
+++ b/rig/run.py
@@ -0,0 +1,367 @@
+"""A run: the world of a scenario around relays that are started as processes, in real time, into one
+record.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from rig import draw
+from rig import record as rec
+from rig.clients import RUDE, Clients, Relay
+from rig.host_model import KeyMemory
+from rig.hosts import Book, Host
+from rig.platform import Discovery, Platform
+from rig.proxy import CLEAR, Fault, Proxy
+from rig.relays import PLAIN, RelayProcess
+from rig.scenario import FAULTS, HOSTS, EventTable, Scenario
+
+MOVED_S = 1.5  # s after which a directory that has moved closes what is open at its old address
+GONE_S = 2.0  # s from an endpoint's drain to its end
+SETTLE_S = 0.6  # s after a message's time in which its end may still come
+
+
+@dataclass(slots=True)
+class Options:
+    """How a run differs from its scenario's."""
+
+    command: Sequence[str] = PLAIN
+    environment: Callable[[int], dict[str, str]] = lambda _life: {}  # by number of the life
+    traffic: list[draw.Arrival] | None = None  # in place of what the seed draws
+    watch: Callable[[rec.AnyEvent], None] | None = None
+    started: Callable[[World], Coroutine[Any, Any, None]] | None = None  # runs beside the events
+
+
+class World:
+    """Everything around the relays, and the relays."""
+
+    def __init__(self, scenario: Scenario, folder: Path, options: Options) -> None:
+        self.scenario, self.folder, self.options = scenario, folder, options
+        folder.mkdir(parents=True, exist_ok=True)
+        self.path = folder / "record.jsonl"
+        self.writer = rec.Writer(self.path, lambda _at: draw.head_of(scenario))
+        self.rng = random.Random(f"world {scenario.seed}")
+        facts = {cls.name: cls for cls in draw.head_of(scenario).classes}
+        self.classes = facts
+        work = {cls.name: (cls.work_ms / 1000, cls.window_s) for cls in scenario.classes}
+        self.book = Book(self.writer, work)
+        self.platform = Platform(self.writer, scenario.directory.late_s, self.rng)
+        self.clients = Clients(self.writer, scenario.clients, self.rng)
+        self.platform.ended = self.clients.ended
+        self.clients.asked = self.book.asked.__setitem__
+        self.writer.told.append(self._saw)
+        if options.watch is not None:
+            self.writer.told.append(options.watch)
+        self.hosts: dict[str, Host] = {}
+        self.memories: dict[tuple[int, str], KeyMemory] = {}
+        self.relays: list[RelayProcess] = []
+        self.doors: list[Relay] = []  # the relays as clients reach them
+        self.proxies: dict[str, list[Proxy]] = {"hosts": [], "directory": [], "clients": []}
+        self._proxy_of: dict[str, Proxy] = {}
+        self._faces: dict[str, tuple[str, int]] = {}  # by relay: where its configuration finds the directory
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.crashed: list[str] = []
+
+    def _saw(self, event: rec.AnyEvent) -> None:
+        if isinstance(event, rec.Answer):
+            for ref, end in event.ends.items():
+                if end == "delivered":
+                    self.clients.delivered(ref)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run something beside the rest; its errors end the run."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def start(self) -> None:
+        """Bring up endpoints, directory and relays."""
+        for plan in draw.hosts_of(self.scenario):
+            await self._add(plan, late=False)
+        self.platform.dial = self._dial
+        for number in range(self.scenario.relays.count):
+            await self._relay(f"n{number}")
+        await asyncio.gather(*(self._up(relay) for relay in self.relays))
+        for relay in self.relays:
+            self.spawn(self._guard(relay))
+
+    async def _add(self, plan: draw.HostPlan, late: bool = True) -> None:
+        memory = self.memories.setdefault((plan.dest, plan.zone), KeyMemory())
+        scenario = self.scenario
+        host = Host(plan, self.book, memory, scenario.partners.idle_s, f"{scenario.seed} {plan.name}")
+        host.model.fall_multiple, host.model.fall_s = scenario.rules.fall_multiple, scenario.rules.fall_s
+        await host.listen()
+        self.hosts[plan.name] = host
+        if "hosts" in scenario.faulty_links:
+            self._proxy_of[plan.name] = await self._proxy("hosts", lambda: host.address)
+        fields = {"block": plan.dest, "site": plan.zone, "class": plan.kind.name}
+        self.writer.add(
+            rec.Host(self.writer.now, plan.name, plan.dest, plan.zone, plan.kind.name, plan.per_s)
+        )
+        self.platform.put(plan.name, "ready", late, **fields)
+
+    async def _proxy(self, link: str, target: Callable[[], tuple[str, int]]) -> Proxy:
+        proxy = Proxy(target)
+        await proxy.listen()
+        self.proxies[link].append(proxy)
+        return proxy
+
+    def _dial(self, _relay: str, host: str) -> str:
+        if host not in self.hosts:
+            return "127.0.0.1:1"
+        address = self._proxy_of[host].address if host in self._proxy_of else self.hosts[host].address
+        return "{}:{}".format(*address)
+
+    async def _face(self, relay: str) -> Discovery:
+        face = await self.platform.face(relay)
+        self._faces[relay] = face.address
+        if "directory" in self.scenario.faulty_links:
+            self._faces[relay] = (await self._proxy("directory", lambda: face.address)).address
+        return face
+
+    async def _relay(self, name: str) -> None:
+        face = await self._face(name)
+        face.known = face._dialed(self.platform.listing.whole())
+        told = self.scenario.relays
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": told.sockets, "disk_mb": told.disk_mb}
+        settings = draw.settings_of(self.scenario)
+
+        def config() -> dict[str, Any]:
+            return {
+                "discovery": "{}:{}".format(*self._faces[name]),
+                "seed": f"{self.rng.getrandbits(64):016x}",
+                "limits": limits,
+                "known": self.platform.faces[name].known,
+                "settings": settings,
+            }
+
+        options = self.options
+        relay = RelayProcess(
+            name,
+            self.folder / name,
+            self.writer,
+            config,
+            command=options.command,
+            environment=options.environment,
+        )
+        self.relays.append(relay)
+        address = relay.address
+        if "clients" in self.scenario.faulty_links:
+            address = (await self._proxy("clients", lambda: relay.address)).address
+        self.doors.append(Relay(name, address))
+
+    async def _up(self, relay: RelayProcess) -> None:
+        """Start a relay; one that ends before it answers has crashed, and is started again."""
+        for _ in range(await relay.up(self.scenario.relays.back_s)):
+            self.crashed.append(f"{relay.name} ended before it was ready")
+
+    async def _guard(self, relay: RelayProcess) -> None:
+        """A relay that ends by itself has crashed; it is started again, as a supervisor would."""
+        while True:
+            process = relay.process
+            assert process is not None
+            await process.wait()
+            if relay.expected:
+                while relay.process is process or relay.expected:
+                    await asyncio.sleep(0.02)
+                continue
+            await relay.ended()
+            self.crashed.append(f"{relay.name} ended with {process.returncode}")
+            await asyncio.sleep(self.scenario.relays.back_s)
+            await self._up(relay)
+
+    async def traffic(self) -> None:
+        """Hand every message in at its time, and wait until each has its end or its time is up."""
+        arrivals = self.options.traffic
+        if arrivals is None:
+            arrivals = draw.arrivals_of(self.scenario)
+        start_s, loop, tasks = asyncio.get_running_loop().time(), asyncio.get_running_loop(), []
+        for arrival in arrivals:
+            if (wait_s := start_s + arrival.at_s - loop.time()) > 0:
+                await asyncio.sleep(wait_s)
+            door, cls = self.doors[arrival.relay % len(self.doors)], self.classes[arrival.cls]
+            tasks.append(self.spawn(self.clients.message(door, arrival, cls)))
+        longest_s = max(cls.deadline_us for cls in self.classes.values()) / 1e6 + SETTLE_S
+        if tasks:
+            await asyncio.wait(tasks, timeout=longest_s + self.scenario.relays.back_s + TAIL_S)
+
+    async def events(self) -> None:
+        """Let everything happen that the scenario names, each at its time."""
+        start_s, loop = asyncio.get_running_loop().time(), asyncio.get_running_loop()
+        tasks = []
+        for event in sorted(self.scenario.events, key=lambda item: item.at_s):
+            if (wait_s := start_s + event.at_s - loop.time()) > 0:
+                await asyncio.sleep(wait_s)
+            tasks.append(self.spawn(self._happen(event)))
+        if tasks:
+            await asyncio.gather(*tasks)
+
+    async def _happen(self, event: EventTable) -> None:
+        self.writer.add(rec.Mark(self.writer.now, event.what, described(event)))
+        if event.what in HOSTS:
+            await self._strike(event)
+        elif event.what in FAULTS:
+            await self._fault(event)
+        else:
+            await {
+                "kill": self._restart, "term": self._restart, "wipe": self._restart, "hup": self._hup,
+                "move": self._move, "heavy_tail": self._heavy, "garble": self._garble, "rude": self._rude,
+                "directory_out": self._blind, "drain": self._drain, "remove": self._drain,
+                "replace": self._drain,
+            }[event.what](event)  # fmt: skip
+
+    async def _restart(self, event: EventTable) -> None:
+        relay = self.relays[event.relay]
+        await (relay.term() if event.what == "term" else relay.kill())
+        if event.what == "wipe":
+            relay.wipe()
+        await asyncio.sleep(self.scenario.relays.back_s)
+        await self._up(relay)
+
+    async def _hup(self, event: EventTable) -> None:
+        self.relays[event.relay].hup()
+
+    async def _move(self, _event: EventTable) -> None:
+        formers = [self.platform.faces[relay.name] for relay in self.relays]
+        for relay in self.relays:
+            await self._face(relay.name)
+            relay.hup()
+        await asyncio.sleep(MOVED_S)
+        for face in formers:
+            face.stop()
+
+    async def _strike(self, event: EventTable) -> None:
+        plans = [host.plan for host in self.hosts.values()]
+        names = draw.struck(self.scenario, plans, event, self.rng)
+        for name in names:
+            self.hosts[name].strike(event.what, event.size, event.len_s)
+        await asyncio.sleep(event.len_s)
+        for name in names:
+            await self.hosts[name].recover()
+
+    async def _heavy(self, event: EventTable) -> None:
+        self.book.tails[event.cls] = (event.part, event.size)
+        await asyncio.sleep(event.len_s)
+        del self.book.tails[event.cls]
+
+    async def _garble(self, event: EventTable) -> None:
+        self.book.spoil = event.part
+        await asyncio.sleep(event.len_s)
+        self.book.spoil = 0.0
+
+    async def _rude(self, event: EventTable) -> None:
+        for number in range(event.count):
+            door = self.doors[number % len(self.doors)]
+            self.spawn(self.clients.rude(door, RUDE[number % len(RUDE)]))
+            await asyncio.sleep(event.len_s / event.count)
+
+    async def _blind(self, event: EventTable) -> None:
+        self.platform.lose()
+        await asyncio.sleep(event.len_s)
+        self.platform.regain()
+
+    async def _drain(self, event: EventTable) -> None:
+        """Endpoints drain, then go; with ``replace`` new ones come at their addresses under new names."""
+        spared = {plan.dest: plan.name for plan in (host.plan for host in self.hosts.values())}
+        able = [name for name, host in self.hosts.items() if host.model.state == "up"]
+        if event.what == "remove":  # the last endpoint of a destination stays
+            able = [name for name in able if name not in spared.values()]
+        names = self.rng.sample(able, min(event.count, len(able)))
+        for name in names:
+            self.platform.put(name, "draining")
+        await asyncio.sleep(max(event.len_s, GONE_S) + self.scenario.directory.late_s[1])
+        for name in names:
+            self.platform.put(name, "ready" if event.what == "drain" else "gone")
+            if event.what == "drain":
+                continue
+            host = self.hosts.pop(name)
+            host.model.state = "refuse"
+            host.refuse()
+            if event.what == "replace":
+                await self._add(replace(host.plan, name=f"{name}'"))
+
+    async def _fault(self, event: EventTable) -> None:
+        fault = {
+            "delay": Fault(delay_s=event.size / 1000),
+            "cut": Fault(cut_after=event.after_bytes),
+            "silence": Fault(silent=True),
+            "drip": Fault(drip=True),
+        }[event.what]
+        for proxy in self.proxies[event.between]:
+            proxy.set(fault)
+        shut = event.between == "directory" and event.what in ("silence", "cut")
+        for face in self.platform.faces.values() if shut else ():
+            face.mute(event.what == "silence")
+            self.writer.add(rec.Reach(self.writer.now, face.relay, False))
+        await asyncio.sleep(event.len_s)
+        for proxy in self.proxies[event.between]:
+            proxy.set(CLEAR)
+        for face in self.platform.faces.values() if shut else ():
+            face.mute(False)
+            self.writer.add(rec.Reach(self.writer.now, face.relay, True))
+
+    async def stop(self) -> None:
+        """End everything and write the record's last line."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for relay in self.relays:
+            await relay.kill()
+        for proxy in (proxy for proxies in self.proxies.values() for proxy in proxies):
+            proxy.close()
+        self.platform.stop()
+        for host in self.hosts.values():
+            host.refuse()
+
+
+def marks_of(folder: Path, start_us: int) -> list[rec.AnyEvent]:
+    """What other processes have noted beside the record, timed by the same clock, in the run's time."""
+    marks = list[rec.AnyEvent]()
+    for path in sorted(folder.glob("*.marks")):
+        for _, event in rec.lines(path):
+            if isinstance(event, rec.Mark):
+                marks.append(rec.Mark(event.at - start_us, event.what, event.detail))
+    return marks
+
+
+TAIL_S = 1.5  # s beyond the last message's time
+
+
+def described(event: EventTable) -> str:
+    """An event's figures, as a reader wants them."""
+    told = event.model_dump(exclude_defaults=True, exclude={"at_s", "what"})
+    return " ".join(f"{name}={value}" for name, value in told.items())
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """What a run leaves: the record's path, relays that crashed, and calls that the protocol does not
+    know.
+    """
+
+    path: Path
+    crashed: tuple[str, ...]
+    bad_calls: int
+
+
+async def play(scenario: Scenario, folder: Path, options: Options | None = None) -> Done:
+    """Play a scenario into ``folder``; the record is whole whatever happens, unless this process is
+    killed.
+    """
+    world, cpu_s = World(scenario, folder, options or Options()), time.process_time()
+    try:
+        await world.start()
+        started = world.options.started
+        beside = [world.spawn(started(world))] if started is not None else []
+        await asyncio.gather(world.traffic(), world.events(), *beside)
+    finally:
+        await world.stop()
+        world.writer.close(time.process_time() - cpu_s, marks_of(folder, world.writer.start_us))
+    return Done(world.path, tuple(world.crashed), world.book.bad_calls)
--- /dev/null
+++ b/rig/scenario.py
@@ -0,0 +1,242 @@
+"""A scenario: what a run is to be, as a TOML file with a seed; every mistake in it is named with its line.
+
+Shapes: a range is two numbers, low and high, of which each host draws one. Times are seconds (``_s``) or
+milliseconds (``_ms``), rates are messages a second over all relays.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field, model_validator
+
+from mallowlug import toml_check
+
+
+def in_order(values: tuple[float, ...]) -> tuple[float, ...]:
+    """A range's low end comes first."""
+    if values[0] > values[1]:
+        raise ValueError("the low end is above the high one")
+    return values
+
+
+Range = Annotated[
+    tuple[Annotated[float, Field(ge=0)], Annotated[float, Field(ge=0)]],
+    Field(strict=False),
+    AfterValidator(in_order),
+]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class LoadTable(toml_check.Strict):
+    """``[load]``: how many messages, and how they come."""
+
+    rate_per_s: float = Field(gt=0, le=20_000)
+    clumps: Share = 0.1  # share of the messages that come in clumps for one destination
+    clump_size: int = Field(default=6, ge=1)
+    skew: float = Field(default=0.9, ge=0, le=3)  # Zipf exponent over destinations
+    body: int = Field(default=200, ge=0, le=65_536)  # bytes
+    key_reuse: Share = 0.5  # in classes with order: share of messages with a key that is in use
+
+
+class ClassTable(toml_check.Strict):
+    """``[[class]]``: a class of message."""
+
+    name: str = Field(pattern=r"^[!-+\--<>-~]{1,64}$")
+    share: float = Field(gt=0)
+    effect: Literal["safe", "keyed", "unsafe"]
+    work_ms: float = Field(gt=0)
+    aim_s: float = Field(gt=0)
+    deadline_s: float = Field(gt=0)
+    worth: float = Field(default=1.0, ge=0)
+    late_worth: Share = 0.0
+    window_s: float = Field(default=0.0, ge=0)
+    by_zone: bool = False
+    in_order: bool = False
+
+
+class KindTable(toml_check.Strict):
+    """``[[kind]]``: a kind of destination."""
+
+    name: str = Field(pattern=r"^[!-+\--<>-~]{1,64}$")
+    share: float = Field(gt=0)
+    lean: float = 0.0  # 1: mostly destinations with much traffic
+    batch: int = Field(default=1, ge=1, le=100)
+    apart: bool = True
+    limited: bool = False  # a rate limit; else capacity alone
+    headroom: Range = (1.3, 2.5)  # limit or capacity over the load at rate_per_s
+    least_per_s: Range = (1.5, 3.7)
+    tells_wait: Share = 0.8  # of its refusals
+    wait_ms: Range = (270, 720)
+    refused_count: bool = False  # refused calls use up the limit too
+    queue_s: Range = (0.3, 1.0)  # of its capacity
+    error_rate: Share = 0.003
+    handshake_ms: Range = (20, 60)
+
+
+class PartnersTable(toml_check.Strict):
+    """``[partners]``: the destinations and their endpoints."""
+
+    destinations: int = Field(default=10, ge=1, le=2000)
+    endpoints: Range = (1, 3)
+    zones: tuple[str, ...] = Field(default=("floor-2", "floor-3"), strict=False, min_length=1)
+    cold_from: Range = (0.27, 0.38)
+    warm_s: Range = (10, 13)
+    network_ms: Range = (0, 0)
+    idle_s: float = Field(default=15.0, gt=0)
+
+
+class ClientsTable(toml_check.Strict):
+    """``[clients]``: the habits of clients."""
+
+    retries: int = Field(default=2, ge=0, le=10)
+    backoff_s: Range = (0.5, 1.4)
+    honour: Share = 0.8  # of told waits
+    marks: bool = False  # whether a retry is marked
+    answer_s: float = Field(default=0.4, gt=0)
+
+
+class RelaysTable(toml_check.Strict):
+    """``[relays]``: the processes under test and their limits."""
+
+    count: int = Field(default=2, ge=1, le=64)
+    slots_room: float = Field(default=1.9, gt=0)  # over what the load keeps busy
+    hold_s: float = Field(default=9.0, gt=0)  # of the load
+    sockets: int = Field(default=384, ge=32)
+    disk_mb: float = Field(default=3.0, gt=0)
+    back_s: float = Field(default=0.6, ge=0)  # from a process's end to its next start
+
+
+class RulesTable(toml_check.Strict):
+    """``[rules]``: the figures that are not a class's."""
+
+    drain_grace_s: float = Field(default=0.5, ge=0)
+    ask_within_s: float = Field(default=6.0, gt=0)
+    fall_multiple: float = Field(default=1.5, gt=0)
+    fall_s: float = Field(default=3.0, gt=0)
+    order_pause_s: float = Field(default=0.0, ge=0)
+    max_attempts: int = Field(default=6, ge=1)
+    max_retry_after_s: float = Field(default=2.0, ge=0)
+
+
+class DirectoryTable(toml_check.Strict):
+    """``[directory]``: how late its news is."""
+
+    late_s: Range = (0.7, 2.5)
+
+
+class MemberTable(toml_check.Strict):
+    """``[[member]]``: its share of the load, and how much of that it uses."""
+
+    name: str = Field(pattern=r"^[!-+\--<>-~]{1,64}$")
+    share: float = Field(gt=0)
+    usage: float = Field(default=1.0, ge=0)
+
+
+# What a scenario has that names no classes, kinds or members of its own: the site's, by the BRIEF's figures.
+POSTINGS = ClassTable(
+    name="payment-postings", share=0.69, effect="keyed", work_ms=74.0, aim_s=4.0, deadline_s=12.0,
+    late_worth=0.4, window_s=25.0, by_zone=True,
+)  # fmt: skip
+STATUS = ClassTable(
+    name="session-status", share=0.31, effect="safe", work_ms=125.0, aim_s=3.0, deadline_s=12.0,
+    worth=3.0, late_worth=0.5,
+)  # fmt: skip
+BANKS = KindTable(name="banks", share=1.0, lean=1.0, batch=10, limited=True)
+LOTS = KindTable(name="lot-systems", share=2.0, tells_wait=0.3, error_rate=0.005)
+MEMBERS = tuple(
+    MemberTable(name=name, share=share)
+    for name, share in (
+        ("parqueos-centro", 0.34),
+        ("estaciona-sur", 0.20),
+        ("parqueo-roble", 0.17),
+        ("aparca-volcan", 0.15),
+        ("parqueos-lago", 0.14),
+    )
+)
+
+PROCESS = ("kill", "term", "hup", "wipe", "move")
+HOSTS = ("refuse", "silent", "slow", "shut")
+LISTS = ("drain", "remove", "replace")
+FAULTS = ("delay", "cut", "silence", "drip")
+
+
+class EventTable(toml_check.Strict):
+    """``[[event]]``: what happens at a time.
+
+    ``kill``, ``term``, ``hup``, ``wipe`` end or signal a relay (``wipe`` loses its folder too); ``move``
+    gives the directory another address and sends SIGHUP to all. ``refuse``, ``silent``, ``slow`` and ``shut``
+    strike endpoints of one zone that get ``part`` of the traffic, or of one ``dest``. ``drain``, ``remove``
+    and ``replace`` change ``count`` endpoints in the directory. ``heavy_tail`` makes ``part`` of a class
+    ``size`` times as long, ``directory_out`` takes the directory away, ``garble`` spoils ``part`` of the
+    answers, ``rude`` brings ``count`` rude clients. ``delay``, ``cut``, ``silence`` and ``drip`` strike the
+    links ``between`` two parts.
+    """
+
+    at_s: float = Field(ge=0)
+    what: Literal[
+        "kill", "term", "hup", "wipe", "move",
+        "refuse", "silent", "slow", "shut", "heavy_tail",
+        "drain", "remove", "replace", "directory_out", "garble", "rude",
+        "delay", "cut", "silence", "drip",
+    ]  # fmt: skip
+    len_s: float = Field(default=0.0, ge=0)
+    relay: int = Field(default=0, ge=0)
+    dest: int = Field(default=-1, ge=-1)
+    part: Share = 0.2
+    size: float = Field(default=8.0, gt=0)
+    count: int = Field(default=1, ge=1)
+    cls: str = ""
+    between: Literal["hosts", "directory", "clients"] = "hosts"
+    after_bytes: int = Field(default=0, ge=0)
+
+
+class Scenario(toml_check.Strict):
+    """The whole file."""
+
+    name: str
+    seed: int = Field(ge=0)
+    length_s: float = Field(gt=0, le=3600)
+    load: LoadTable
+    relays: RelaysTable = RelaysTable()
+    partners: PartnersTable = PartnersTable()
+    clients: ClientsTable = ClientsTable()
+    directory: DirectoryTable = DirectoryTable()
+    rules: RulesTable = RulesTable()
+    classes: tuple[ClassTable, ...] = Field((POSTINGS, STATUS), alias="class", strict=False, min_length=1)
+    kinds: tuple[KindTable, ...] = Field((BANKS, LOTS), alias="kind", strict=False, min_length=1)
+    members: tuple[MemberTable, ...] = Field(MEMBERS, alias="member", strict=False, min_length=1)
+    events: tuple[EventTable, ...] = Field(alias="event", default=(), strict=False)
+
+    @model_validator(mode="after")
+    def fits(self) -> Scenario:
+        """What one table cannot see: names that repeat, events that name what is not there."""
+        for key, names in (
+            ("class", [item.name for item in self.classes]),
+            ("kind", [item.name for item in self.kinds]),
+            ("member", [item.name for item in self.members]),
+        ):
+            if len(set(names)) < len(names):
+                raise ValueError(f"{key}: a name stands twice")
+        partners = self.partners
+        for at, event in enumerate(self.events):
+            if event.at_s >= self.length_s:
+                raise ValueError(f"event.{at}.at_s: {event.at_s} is not within length_s")
+            if event.what in PROCESS and event.relay >= self.relays.count:
+                raise ValueError(f"event.{at}.relay: there are {self.relays.count} relays, from 0")
+            if event.dest >= partners.destinations:
+                raise ValueError(f"event.{at}.dest: there are {partners.destinations}, from 0")
+            if event.what == "heavy_tail" and event.cls not in {cls.name for cls in self.classes}:
+                raise ValueError(f"event.{at}.cls: no such class: {event.cls!r}")
+        return self
+
+    @property
+    def faulty_links(self) -> set[str]:
+        """Where fault proxies are needed."""
+        return {event.between for event in self.events if event.what in FAULTS}
+
+
+def load(path: Path) -> Scenario:
+    """Read a scenario; ``toml_check.FileMistakesError`` names all that is wrong with it."""
+    return toml_check.read(path, Scenario)
--- /dev/null
+++ b/tests/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rig."""
--- /dev/null
+++ b/tests/rig/test_planted.py
@@ -0,0 +1,89 @@
+"""A deliberately faulty relay for each rule, run live: the judge has to catch it, and the real one has to
+pass.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rig import record as rec
+from rig.relays import PLAIN
+from rig.rules import RULES, judge
+from rig.run import Options, play
+from rig.scenario import Scenario
+
+FAULTY = (sys.executable, "-m", "rig.faulty")
+QUICK = {"work_ms": 20.0, "aim_s": 1.0, "deadline_s": 2.5, "share": 1.0}
+SAFE = {"name": "safe", "effect": "safe", **QUICK}
+WORLD: dict[str, Any] = {
+    "seed": 1,
+    "length_s": 3.0,
+    "load": {"rate_per_s": 40.0, "clumps": 0.0},
+    "relays": {"count": 1, "back_s": 0.1},
+    "partners": {"destinations": 2, "endpoints": (2, 2), "warm_s": (2.0, 2.0)},
+    "clients": {"retries": 0},
+    "directory": {"late_s": (0.0, 0.0)},
+    "class": [SAFE],
+    "kind": [{"name": "lots", "share": 1.0, "least_per_s": (20, 20), "error_rate": 0.0}],
+}
+CASES: dict[str, dict[str, Any]] = {
+    # An outage to the end: what cannot be delivered has to be told.
+    "lost": {"event": [{"at_s": 0.5, "what": "silent", "len_s": 3.0, "dest": 0}]},
+    # Half of the calls end in an error that may have run.
+    "twice": {
+        "class": [{**SAFE, "name": "unsafe", "effect": "unsafe"}],
+        "kind": [{**WORLD["kind"][0], "error_rate": 0.5}],
+    },
+    "drains": {"event": [{"at_s": 0.5, "what": "drain", "count": 2, "len_s": 2.5}]},
+    # After an outage all traffic meets an endpoint at a twenty-fifth of its capacity.
+    "returns": {
+        "load": {"rate_per_s": 60.0, "skew": 0.0},
+        "partners": {
+            "destinations": 1, "endpoints": (1, 1), "warm_s": (10.0, 10.0), "cold_from": (0.04, 0.04),
+        },
+        "rules": {"fall_s": 1.0},
+        "relays": {"count": 1, "slots_room": 30.0},
+        "event": [{"at_s": 0.3, "what": "refuse", "len_s": 1.2, "dest": 0}],
+    },
+    "order": {
+        "class": [{**SAFE, "in_order": True, "work_ms": 60.0}],
+        "load": {"rate_per_s": 40.0, "key_reuse": 0.9},
+    },
+    "waits": {
+        "kind": [
+            {
+                **WORLD["kind"][0], "limited": True, "least_per_s": (4, 4), "headroom": (0.2, 0.2),
+                "tells_wait": 1.0, "wait_ms": (300, 400),
+            }
+        ],
+    },
+}  # fmt: skip
+
+
+async def played(rule: str, folder: Path, command: tuple[str, ...], plant: str) -> rec.Record:
+    """The rule's world around a relay."""
+    scenario = Scenario.model_validate({"name": rule} | WORLD | CASES[rule])
+    told = {"RIG_PLANT": plant, "RIG_MARKS": str(folder / "plant.marks")} if plant else {}
+    done = await play(scenario, folder, Options(command, lambda _life: told))
+    assert done.crashed == ()
+    assert done.bad_calls == 0
+    return rec.read(done.path)
+
+
+@pytest.mark.parametrize("rule", RULES)
+async def test_a_planted_fault_is_caught_and_the_real_relay_passes(rule: str, tmp_path: Path) -> None:
+    broken, real = await asyncio.gather(
+        played(rule, tmp_path / "faulty", FAULTY, rule), played(rule, tmp_path / "real", PLAIN, "")
+    )
+    assert [e.detail for e in broken.events if isinstance(e, rec.Mark) and e.what == "plant"] == [rule]
+    verdict = judge(broken)
+    assert verdict.state == "broken"
+    assert rule in {breach.rule for breach in verdict.breaches}
+    kept = judge(real)
+    assert (kept.state, kept.breaches) == ("kept", ())
+    assert kept.checked[rule] > 0, "the world gave the rule no case"
--- /dev/null
+++ b/tests/rig/test_proxy.py
@@ -0,0 +1,152 @@
+"""The fault proxy: each fault does what it says, and nothing is ever reordered."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from rig.proxy import CLEAR, Fault, Proxy
+from tests.world import soon
+
+DATA = bytes(range(256)) * 40
+
+
+class Far:
+    """The other side: it keeps what it gets and can answer."""
+
+    def __init__(self) -> None:
+        self.got = bytearray()
+        self.ended: list[str] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.changed = asyncio.Condition()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        try:
+            while data := await reader.read(1000):
+                async with self.changed:
+                    self.got += data
+                    self.changed.notify_all()
+            self.ended.append("end")
+        except ConnectionError:
+            self.ended.append("reset")
+        async with self.changed:
+            self.changed.notify_all()
+        writer.close()
+
+    async def until(self, size: int) -> None:
+        """Wait until so many bytes have come."""
+        async with self.changed:
+            await soon(self.changed.wait_for(lambda: len(self.got) >= size))
+
+
+@pytest.fixture
+async def line() -> AsyncIterator[tuple[Proxy, Far, asyncio.StreamReader, asyncio.StreamWriter]]:
+    """A connection through a proxy."""
+    far = Far()
+    server = await asyncio.start_server(far.serve, "127.0.0.1", 0)
+    proxy = Proxy(lambda: server.sockets[0].getsockname()[:2])
+    await proxy.listen()
+    reader, writer = await asyncio.open_connection(*proxy.address)
+    yield proxy, far, reader, writer
+    writer.close()
+    proxy.close()
+    server.close()
+
+
+Line = tuple[Proxy, Far, asyncio.StreamReader, asyncio.StreamWriter]
+
+
+FAULTS = [CLEAR, Fault(delay_s=0.05), Fault(drip=True), Fault(delay_s=0.02, drip=True)]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_bytes_come_in_order_whatever_the_fault(line: Line, fault: Fault) -> None:
+    proxy, far, _, writer = line
+    proxy.set(fault)
+    data = DATA if not fault.drip else DATA[:300]
+    for at in range(0, len(data), 100):
+        writer.write(data[at : at + 100])
+        await writer.drain()
+    await far.until(len(data))
+    assert bytes(far.got) == data
+
+
+async def test_a_delay_that_gets_shorter_lets_nothing_overtake(line: Line) -> None:
+    proxy, far, _, writer = line
+    proxy.set(Fault(delay_s=0.3))
+    writer.write(b"first")
+    await asyncio.sleep(0.05)
+    proxy.set(CLEAR)
+    writer.write(b"second")
+    await far.until(11)
+    assert bytes(far.got) == b"firstsecond"
+
+
+async def test_a_delay_delays(line: Line) -> None:
+    proxy, far, _, writer = line
+    loop = asyncio.get_running_loop()
+    proxy.set(Fault(delay_s=0.2))
+    start_s = loop.time()
+    writer.write(b"x")
+    await far.until(1)
+    assert loop.time() - start_s >= 0.2
+
+
+async def test_a_cut_passes_so_many_bytes_and_resets_both_sides(line: Line) -> None:
+    proxy, far, reader, writer = line
+    proxy.set(Fault(cut_after=150))
+    writer.write(DATA[:1000])
+    with pytest.raises(ConnectionError):
+        while await soon(reader.read(100)):
+            pass
+        raise ConnectionResetError
+    await far.until(150)
+    async with far.changed:
+        await soon(far.changed.wait_for(lambda: bool(far.ended)))
+    assert bytes(far.got) == DATA[:150]
+    assert far.ended == ["reset"]
+
+
+async def test_silence_holds_everything_back_and_loses_nothing(line: Line) -> None:
+    proxy, far, reader, writer = line
+    writer.write(b"before")
+    await far.until(6)
+    proxy.set(Fault(silent=True))
+    writer.write(b"after")
+    far.writers[0].write(b"answer")
+    await asyncio.sleep(0.1)
+    assert bytes(far.got) == b"before"
+    _, late_writer = await asyncio.open_connection(*proxy.address)  # new ones come up, and stay silent
+    late_writer.write(b"late")
+    await asyncio.sleep(0.1)
+    assert bytes(far.got) == b"before"
+    proxy.set(CLEAR)
+    await far.until(15)
+    assert bytes(far.got) in (b"beforeafterlate", b"beforelateafter")  # two connections have no order
+    assert await soon(reader.readexactly(6)) == b"answer"
+    late_writer.close()
+
+
+async def test_the_end_of_one_side_reaches_the_other_behind_its_bytes(line: Line) -> None:
+    proxy, far, _, writer = line
+    proxy.set(Fault(delay_s=0.05))
+    writer.write(b"bye")
+    writer.write_eof()
+    async with far.changed:
+        await soon(far.changed.wait_for(lambda: far.ended == ["end"]))
+    assert bytes(far.got) == b"bye"
+
+
+async def test_a_far_side_that_is_not_there_resets_the_near_one() -> None:
+    proxy = Proxy(lambda: ("127.0.0.1", 1))
+    await proxy.listen()
+    reader, writer = await asyncio.open_connection(*proxy.address)
+    with pytest.raises(ConnectionError):
+        writer.write(b"x")
+        if not await soon(reader.read(1)):
+            raise ConnectionResetError
+    writer.close()
+    proxy.close()
--- /dev/null
+++ b/tests/rig/test_rules.py
@@ -0,0 +1,274 @@
+"""The judge: for each rule doctored records that it must catch, near misses that it must pass, and clean
+ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rig import record as rec
+from rig.rules import RULES, judge
+from tests.rig.story import MS, SECOND, Story
+
+
+def out(at: int, back: int, host: str = "a1", cold: float = 0.25, warm: int = 10_000) -> list[rec.AnyEvent]:
+    """An outage and a cold return."""
+    return [rec.Life(at * MS, host, "out"), rec.Life(back * MS, host, "back", cold, warm * MS)]
+
+
+def fails(story: Story, at: int, refs: range, relay: str = "n0") -> Story:
+    """Calls that fail at a1, so that the relay knows of the outage."""
+    for number in refs:
+        story.ask(at, f"f{number}", relay=relay).call(at + 10, f"f{number}", end="gone")
+        story.notice(at + 2000, f"f{number}", "bounced")
+    return story
+
+
+def flood(story: Story, at: int, count: int, gap: int = 100, relay: str = "n0", host: str = "a1") -> Story:
+    """Messages one after the other, each delivered there."""
+    for number in range(count):
+        ref = f"{relay}-{at}-{number}"
+        story.ask(at + gap * number, ref, relay=relay).call(at + gap * number + 5, ref, host=host)
+    return story
+
+
+def keyed(at: int, first: str, host: str = "a1") -> Story:
+    """A keyed message whose first try may have run, and a second try."""
+    story = Story().ask(0, "m", "keyed", left_us=60 * SECOND).call(10, "m", end=first)
+    return story.call(at, "m", host=host)
+
+
+BROKEN: dict[str, dict[str, Callable[[], Story]]] = {
+    "lost": {
+        "no end at all": lambda: Story().ask(0, "m"),
+        "a notice too late": lambda: Story().ask(0, "m").notice(12_400, "m"),
+        "a delivery too late": lambda: Story().ask(0, "m").call(12_380, "m"),
+        "two ends": lambda: Story().ask(0, "m").notice(100, "m", "bounced").notice(200, "m", "dead"),
+        "refused by its endpoint and forgotten": lambda: Story().ask(0, "m").call(5, "m", end="refused"),
+        "cut on a kept connection": lambda: Story()
+        .ask(0, "m", said="")
+        .add(rec.Said(5 * MS, "m", "cut", fresh=False)),
+        "lost long after a restart": lambda: Story()
+        .ask(0, "m")
+        .add(rec.Process(SECOND, "n0", "kill"), rec.Process(2 * SECOND, "n0", "ready")),
+    },
+    "twice": {
+        "unsafe after a reset": lambda: Story()
+        .ask(0, "m", "unsafe").call(5, "m", end="gone").call(100, "m"),
+        "unsafe while one is out": lambda: Story()
+        .ask(0, "m", "unsafe").call(5, "m", took=500).call(100, "m", took=10),
+        "unsafe after a delivery": lambda: Story().ask(0, "m", "unsafe").call(5, "m").call(100, "m"),
+        "keyed past its window": lambda: keyed(25_100, "gone"),
+        "keyed in another zone": lambda: keyed(100, "gone", "b1"),
+        "keyed after an error in another zone": lambda: keyed(100, "error", "b1"),
+        "unsafe refused though it may have run": lambda: Story()
+        .ask(0, "m", "unsafe").call(5, "m", end="error").notice(100, "m", "bounced"),
+        "two effects": lambda: Story()
+        .ask(0, "m", "anywhere").call(5, "m")
+        .add(rec.Ran(9 * MS, 1, "a1", "m", True), rec.Ran(10 * MS, 1, "a1", "m", True)),
+        "sent before its refusal was written": lambda: Story()
+        .ask(0, "m", "unsafe").call(5, "m", end="refused", took=100).call(50, "m", took=10),
+    },
+    "drains": {
+        "after a drain was told": lambda: Story()
+        .add(rec.Told(0, "n0", "a1", "draining")).ask(0, "m").call(600, "m"),
+        "after it was told gone": lambda: Story()
+        .add(rec.Told(0, "n0", "a1", "gone")).ask(0, "m").call(600, "m"),
+        "blind for too long": lambda: Story()
+        .add(rec.Watch(0, "n0", False), rec.Listed(SECOND, "a1", "draining"))
+        .ask(0, "m").call(7700, "m"),
+        "told, then gone": lambda: Story()
+        .add(rec.Told(0, "n0", "a1", "draining"), rec.Told(400 * MS, "n0", "a1", "gone"))
+        .ask(0, "m").call(700, "m"),
+    },
+    "returns": {
+        "a flood by one that saw it fail": lambda: flood(
+            fails(Story().add(*out(0, 3000)), 100, range(2)), 3000, 12
+        ),
+        "two thirds by those that knew": lambda: flood(
+            flood(fails(Story().add(*out(0, 3000)), 100, range(2)), 3000, 8), 3050, 4, relay="n1"
+        ),
+        "a burst that spends the budget at once": lambda: flood(
+            fails(Story().add(*out(0, 3000)), 100, range(2)), 3000, 12, gap=5
+        ),
+        "it fell over, just within its budget": lambda: flood(
+            fails(Story().add(*out(0, 3000)), 100, range(2)), 3000, 6, gap=20
+        ).add(rec.Life(3150 * MS, "a1", "fell")),
+        "later in the warm-up": lambda: flood(
+            fails(Story().add(*out(0, 3000)), 100, range(2)), 6000, 30, gap=50
+        ),
+    },
+    "order": {
+        "the second while the first is out": lambda: Story()
+        .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+        .call(10, "m1", took=500).call(100, "m2"),
+        "the second before the first": lambda: Story()
+        .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+        .call(10, "m2").call(100, "m1"),
+        "no rest after a time-out": lambda: Story()
+        .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+        .call(10, "m1", end="gone").notice(100, "m1").call(300, "m2"),
+        "a try still open though a notice has ended it": lambda: Story()
+        .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+        .call(10, "m1", end="open").notice(100, "m1").call(1000, "m2"),
+    },
+    "waits": {
+        "to the endpoint that told it": lambda: Story()
+        .ask(0, "m").call(5, "m", end="refused", wait=1000).call(500, "m"),
+        "another message": lambda: Story()
+        .ask(0, "m").ask(0, "o").call(5, "m", end="refused", wait=1000).call(900, "o").call(1200, "m"),
+        "another endpoint of a joint route": lambda: Story()
+        .ask(0, "m", dest=2).call(5, "m", host="j1", end="refused", wait=1000).call(500, "m", host="j2"),
+        "a wait on an answer that delivers": lambda: Story()
+        .ask(0, "m").ask(0, "o").call(5, "m", wait=1000).call(500, "o"),
+    },
+}  # fmt: skip
+KEPT: dict[str, Callable[[], Story]] = {
+    "a notice just in time": lambda: Story().ask(0, "m").notice(12_340, "m"),
+    "a repeated notice": lambda: Story().ask(0, "m").notice(100, "m").notice(300, "m"),
+    "not taken on": lambda: Story().ask(0, "m", said="refused").ask(5, "o", said="silent"),
+    "late while the relay was away": lambda: Story()
+    .ask(0, "m").notice(14_400, "m")
+    .add(rec.Process(12 * SECOND, "n0", "kill"), rec.Process(13 * SECOND, "n0", "ready")),
+    "late while the platform was out of reach": lambda: Story()
+    .ask(0, "m").notice(14_400, "m")
+    .add(rec.Reach(11 * SECOND, "n0", False), rec.Reach(13 * SECOND, "n0", True)),
+    "lost with its folder": lambda: Story()
+    .ask(0, "m").add(rec.Process(SECOND, "n0", "kill"), rec.Process(SECOND, "n0", "wiped")),
+    "cut on a new connection": lambda: Story()
+    .ask(0, "m", said="").add(rec.Said(5 * MS, "m", "cut", fresh=True)),
+    "cut by a kill": lambda: Story()
+    .ask(0, "m", said="").add(rec.Process(4 * MS, "n0", "kill"), rec.Said(5 * MS, "m", "cut")),
+    "unsafe after a refusal": lambda: Story()
+    .ask(0, "m", "unsafe").call(5, "m", end="refused", took=10).call(100, "m"),
+    "keyed in its window and zone": lambda: keyed(24_900, "gone", "a2"),
+    "keyed anywhere refused": lambda: Story()
+    .ask(0, "m", "anywhere").call(5, "m", end="error").notice(100, "m", "bounced"),
+    "a second copy of a safe one": lambda: Story()
+    .ask(0, "m").call(5, "m", took=500).call(100, "m", took=10),
+    "within the grace of a drain": lambda: Story()
+    .add(rec.Told(0, "n0", "a1", "draining")).ask(0, "m").call(500, "m"),
+    "ready again": lambda: Story()
+    .add(rec.Told(0, "n0", "a1", "draining"), rec.Told(SECOND, "n0", "a1", "ready"))
+    .ask(0, "m").call(1500, "m"),
+    "another relay was told": lambda: Story()
+    .add(rec.Told(0, "n1", "a1", "draining")).ask(0, "m").call(1500, "m"),
+    "a return within its budget": lambda: flood(
+        fails(Story().add(*out(0, 3000)), 100, range(2)), 3000, 4, gap=700
+    ),
+    "a flood by one that knew nothing": lambda: flood(Story().add(*out(0, 3000)), 3000, 12, relay="n1"),
+    "a flood once it is warm": lambda: flood(
+        fails(Story().add(*out(0, 3000)), 100, range(2)), 13_100, 30
+    ),
+    "a refused call has no rest": lambda: Story()
+    .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+    .call(10, "m1", end="refused").call(80, "m1").call(140, "m2"),
+    "a rest that was kept": lambda: Story()
+    .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+    .call(10, "m1", end="gone").notice(100, "m1").call(600, "m2"),
+    "other keys": lambda: Story()
+    .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="l")
+    .call(10, "m1", took=500).call(100, "m2"),
+    "on its way when the wait was told": lambda: Story()
+    .ask(0, "m").ask(0, "o").call(5, "m", end="refused", wait=1000).call(140, "o").call(1100, "m"),
+    "another route": lambda: Story()
+    .ask(0, "m").call(5, "m", end="refused", wait=1000).call(500, "m", host="a2"),
+    "a restart ends a wait": lambda: Story()
+    .ask(0, "m").call(5, "m", end="refused", wait=2000).call(1500, "m")
+    .add(rec.Process(SECOND, "n0", "kill"), rec.Process(1400 * MS, "n0", "ready")),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("rule", "case"), [(rule, case) for rule, cases in BROKEN.items() for case in cases])
+def test_a_doctored_record_is_caught(rule: str, case: str) -> None:
+    verdict = judge(BROKEN[rule][case]().record())
+    assert verdict.state == "broken"
+    assert {breach.rule for breach in verdict.breaches} == {rule}, verdict.breaches
+    assert all(breach.ids and breach.detail for breach in verdict.breaches)
+
+
+def test_every_rule_has_three_records_that_break_it() -> None:
+    assert set(BROKEN) == set(RULES)
+    assert all(len(cases) >= 3 for cases in BROKEN.values())
+
+
+@pytest.mark.parametrize("case", KEPT)
+def test_a_near_miss_is_kept(case: str) -> None:
+    verdict = judge(KEPT[case]().record())
+    assert (verdict.state, verdict.breaches) == ("kept", ())
+
+
+def test_a_truncated_record_is_unknown_and_never_kept() -> None:
+    story = Story().ask(0, "m").call(5, "m")
+    assert judge(story.record()).state == "kept"
+    verdict = judge(story.record(whole=False))
+    assert (verdict.state, verdict.reasons) == ("unknown", ("the record is truncated",))
+
+
+def test_a_message_whose_time_was_not_up_leaves_it_unknown() -> None:
+    verdict = judge(Story().ask(0, "m").record(end=5000))
+    assert verdict.state == "unknown"
+    assert "m has no end" in verdict.reasons[0]
+
+
+def test_a_breach_in_a_truncated_record_is_a_breach() -> None:
+    story = Story().ask(0, "m", "unsafe").call(5, "m").call(100, "m")
+    assert judge(story.record(whole=False)).state == "broken"
+
+
+@st.composite
+def clean(draw: st.DrawFn) -> Story:
+    """A record of a relay that keeps every rule, by the plainest means: one call after the other."""
+    story, now = Story(), 0
+    waits: dict[str, int] = {}
+    gone: set[str] = set()
+    for number in range(draw(st.integers(1, 25))):
+        now += draw(st.integers(1, 400))
+        ref, cls = f"m{number}", draw(st.sampled_from(["keyed", "anywhere", "safe", "unsafe", "line"]))
+        answer = draw(st.sampled_from(["taken", "taken", "taken", "refused", "failed", "silent"]))
+        story.ask(now, ref, cls, said=answer, order="k" if cls == "line" else "")
+        if answer != "taken":
+            continue
+        if draw(st.integers(0, 9)) == 0 and len(gone) < 2:
+            host = draw(st.sampled_from([h for h in ("a1", "a2", "b1") if h not in gone]))
+            gone.add(host)
+            story.add(rec.Told(now * MS, "n0", host, draw(st.sampled_from(["draining", "gone"]))))
+        zone, over = "", False
+        for _ in range(draw(st.integers(0, 3))):
+            able = [h for h in ("a1", "a2", "b1") if h not in gone and (not zone or h[0] == zone)]
+            if not able:
+                break
+            host = draw(st.sampled_from(able))
+            now = max(now, waits.get(host, 0)) + 10
+            end = draw(st.sampled_from(["delivered", "refused", "error", "gone"]))
+            wait = draw(st.integers(0, 800)) if end == "refused" else 0
+            story.call(now, ref, host=host, end=end, took=20, wait=wait)
+            now += 30
+            waits[host] = now + wait
+            over = end == "delivered"
+            if over or (end != "refused" and cls in ("unsafe", "anywhere")):
+                break
+            zone = zone or (host[0] if end != "refused" and cls == "keyed" else "")
+        if not over:
+            now += 10
+            story.notice(now, ref, "bounced" if cls in ("safe", "line") else "dead")
+        now += 600 if cls == "line" else 0  # the pause after a try whose outcome is open
+    return story
+
+
+@given(clean())
+def test_clean_records_are_kept(story: Story) -> None:
+    verdict = judge(story.record())
+    assert (verdict.state, verdict.breaches) == ("kept", ())
+
+
+@given(clean(), st.data())
+def test_a_clean_record_without_one_of_its_ends_is_caught(story: Story, data: st.DataObject) -> None:
+    ends = [event for event in story.events if isinstance(event, rec.Notice)]
+    if ends:
+        story.events.remove(data.draw(st.sampled_from(ends)))
+        assert [breach.rule for breach in judge(story.record()).breaches].count("lost") == 1
--- /dev/null
+++ b/tests/rig/test_standins.py
@@ -0,0 +1,374 @@
+"""The stand-ins, each against an independent library's other side, so that both cannot share one mistake."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import random
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import hiredis
+import pytest
+
+from rig import draw
+from rig import record as rec
+from rig.clients import Clients, Relay, heard_of, packed
+from rig.host_model import KeyMemory
+from rig.hosts import BadCallError, Book, Host, items_of
+from rig.httpd import Request
+from rig.platform import Discovery, Platform
+from rig.scenario import ClientsTable, KindTable, Scenario
+from tests.world import soon
+
+SCENARIO = Scenario.model_validate({"name": "s", "seed": 1, "length_s": 1.0, "load": {"rate_per_s": 5.0}})
+KIND = KindTable(name="banks", share=1.0, batch=3, error_rate=0.0, handshake_ms=(0, 0))
+
+
+class Set:
+    """A record, what it holds so far, and one endpoint of a kind of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.writer = rec.Writer(folder / "record", lambda _at: draw.head_of(SCENARIO))
+        self.events: list[rec.AnyEvent] = []
+        self.writer.told.append(self.events.append)
+        self.book = Book(self.writer, {"c": (0.001, 25.0)})
+        self.memory = KeyMemory()
+
+    async def host(self, kind: KindTable = KIND) -> Host:
+        """An endpoint that is quick."""
+        plan = draw.HostPlan(
+            "h", 1, "a", kind, per_s=4.0, capacity_per_s=1000.0, servers=2, queue=2, pace=1.0,
+            network_s=0.0, handshake_s=0.0, cold_from=0.25, warm_s=10.0,
+        )  # fmt: skip
+        host = Host(plan, self.book, self.memory, 15.0, "seed")
+        await host.listen()
+        return host
+
+    def ask(self, *refs: str) -> None:
+        """Messages that were handed in."""
+        for ref in refs:
+            self.book.asked[ref] = "c"
+
+    def of(self, kind: type) -> list[Any]:
+        """Events of a kind."""
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[Set]:
+    """A record without anything around it."""
+    yield Set(tmp_path)
+
+
+async def call(
+    host: Host, *refs: str, key: str = "k", connection: http.client.HTTPConnection | None = None
+) -> tuple[int, dict[str, str], str]:
+    """One call by the standard library's client: status, headers and body."""
+
+    def run() -> tuple[int, dict[str, str], str]:
+        client = connection or http.client.HTTPConnection(*host.address, timeout=20)
+        if len(refs) == 1:
+            client.request("POST", "/hook", b"body", {"X-Txn": refs[0], "Idempotency-Key": key})
+        else:
+            body = b"".join(b"%s - 4\r\nbody\r\n" % ref.encode() for ref in refs)
+            client.request("POST", "/hook/batch", body)
+        answer = client.getresponse()
+        told = (answer.status, {n.lower(): v for n, v in answer.getheaders()}, answer.read().decode())
+        if connection is None:
+            client.close()
+        return told
+
+    return await soon(asyncio.get_running_loop().run_in_executor(None, run))
+
+
+async def test_a_call_is_delivered_and_recorded_from_first_byte_to_answer(world: Set) -> None:
+    host = await world.host()
+    world.ask("m1")
+    assert (await call(host, "m1"))[0] == 200
+    [came], [ran], [answer] = world.of(rec.Call), world.of(rec.Ran), world.of(rec.Answer)
+    assert (came.ids, came.host, ran.effect, answer.ends) == (["m1"], "h", True, {"m1": "delivered"})
+    assert came.began <= came.at <= ran.at <= answer.at
+    host.refuse()
+
+
+async def test_a_batch_tells_each_ones_end(world: Set) -> None:
+    host = await world.host()
+    world.ask("m1", "m2", "m3")
+    status, _, body = await call(host, "m1", "m2", "m3")
+    assert (status, body) == (200, "m1 delivered\r\nm2 delivered\r\nm3 delivered\r\n")
+    host.refuse()
+
+
+async def test_a_connection_serves_one_call_after_the_other(world: Set) -> None:
+    host = await world.host()
+    world.ask("m1", "m2")
+    client = http.client.HTTPConnection(*host.address, timeout=20)
+    for ref in ("m1", "m2"):
+        assert (await call(host, ref, connection=client))[0] == 200
+    assert len({came.connection for came in world.of(rec.Call)}) == 1
+    client.close()
+    host.refuse()
+
+
+async def test_a_key_that_is_remembered_has_no_effect_again(world: Set) -> None:
+    first, second = await world.host(), await world.host()
+    world.ask("m1", "m2", "m3")
+    await call(first, "m1", key="k1")
+    await call(second, "m2", key="k1")
+    await call(second, "m3", key="k2")
+    assert [ran.effect for ran in world.of(rec.Ran)] == [True, False, True]
+    first.refuse()
+    second.refuse()
+
+
+async def test_over_its_limit_it_refuses_with_a_wait_after_which_there_is_room(world: Set) -> None:
+    kind = KIND.model_copy(update={"limited": True, "tells_wait": 1.0, "wait_ms": (100, 100)})
+    host = await world.host(kind)
+    host.model.tokens_s = host.now()
+    world.ask(*(f"m{n}" for n in range(4)))
+    assert (await call(host, "m0"))[0] == 200
+    assert (await call(host, "m1"))[0] in (200, 429)
+    told = [await call(host, ref) for ref in ("m2", "m3")]
+    assert told[-1][0] == 429
+    wait_ms = int(told[-1][1]["x-retry-in-ms"])
+    assert wait_ms >= 100
+    assert world.of(rec.Answer)[-1].wait_us == wait_ms * 1000
+    assert told[-1][1]["x-pressure"].startswith("x0=0.")
+    host.refuse()
+
+
+async def test_while_shut_it_tells_when_it_opens(world: Set) -> None:
+    kind = KIND.model_copy(update={"tells_wait": 1.0})
+    host = await world.host(kind)
+    world.ask("m1")
+    host.strike("shut", 1.0, 60.0)
+    status, headers, _ = await call(host, "m1")
+    assert status == 429
+    assert 59_000 <= int(headers["x-retry-in-ms"]) <= 60_000
+    host.refuse()
+
+
+async def test_refusing_it_takes_no_connection_and_comes_back_cold(world: Set) -> None:
+    host = await world.host()
+    host.strike("refuse", 1.0, 1.0)
+    with pytest.raises(OSError):
+        await call(host, "m1")
+    await host.recover()
+    world.ask("m1")
+    assert (await call(host, "m1"))[0] == 200
+    assert [(life.state, life.cold_from) for life in world.of(rec.Life)] == [("out", 1.0), ("back", 0.25)]
+    host.refuse()
+
+
+async def test_silent_it_runs_the_call_and_breaks_it_off_when_it_is_back(world: Set) -> None:
+    host = await world.host()
+    world.ask("m1")
+    host.strike("silent", 1.0, 1.0)
+    pending = asyncio.create_task(call(host, "m1"))
+    while not world.of(rec.Ran):
+        await asyncio.sleep(0.01)
+    await host.recover()
+    with pytest.raises(ConnectionError):
+        await pending
+    assert world.of(rec.Answer) == []
+    assert [gone.call for gone in world.of(rec.Gone)] == [1]
+
+
+async def test_sent_too_much_while_cold_it_falls_over(world: Set) -> None:
+    host = await world.host()
+    host.strike("refuse", 1.0, 1.0)
+    await host.recover()
+    world.ask(*(f"m{n}" for n in range(40)))
+    with pytest.raises((ConnectionError, http.client.HTTPException)):
+        for number in range(40):
+            await call(host, f"m{number}")
+    assert world.of(rec.Life)[-1].state == "fell"
+    with pytest.raises(OSError):
+        await call(host, "m39")
+
+
+async def test_what_nobody_handed_in_is_a_bad_call(world: Set) -> None:
+    host = await world.host()
+    assert (await call(host, "m9"))[0] == 400
+    assert world.book.bad_calls == 1
+    host.refuse()
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "body"),
+    [
+        ("/hook", {}, b"x"),
+        ("/other", {"x-txn": "m1"}, b"x"),
+        ("/hook/batch", {}, b""),
+        ("/hook/batch", {}, b"m1 - 4\r\nbo\r\n"),
+        ("/hook/batch", {}, b"m1 4\r\nbody\r\n"),
+        ("/hook/batch", {}, b"m1 - 4\r\nbody\r\nm1 - 4\r\nbody\r\n"),
+        ("/hook/batch", {}, b"".join(b"m%d - 1\r\nx\r\n" % n for n in range(4))),
+    ],
+)
+def test_calls_that_the_protocol_does_not_know(target: str, headers: dict[str, str], body: bytes) -> None:
+    request = Request(None, "POST", target, headers, body, 0.0, 0.0)  # type: ignore[arg-type]
+    with pytest.raises(BadCallError):
+        items_of(request, 3)
+
+
+async def get(face: Discovery, target: str) -> tuple[int, list[Any]]:
+    """A whole answer, or a watch's first line, by the standard library's client."""
+
+    def run() -> tuple[int, list[Any]]:
+        client = http.client.HTTPConnection(*face.address, timeout=20)
+        client.request("GET", target)
+        answer = client.getresponse()
+        lines = [json.loads(answer.readline())] if answer.status == 200 else []
+        client.close()
+        return answer.status, lines
+
+    return await soon(asyncio.get_running_loop().run_in_executor(None, run))
+
+
+async def test_discovery_tells_the_list_and_its_changes(world: Set) -> None:
+    platform = Platform(world.writer, (0.0, 0.0), random.Random(1))
+    platform.dial = lambda relay, host: f"{relay}.{host}:1"
+    face = await platform.face("n0")
+    platform.put("h1", "ready", late=False, block=3)
+    status, [news] = await get(face, "/discovery/hosts")
+    assert (status, news["whole"], news["seq"]) == (200, True, 1)
+    assert [(e["host"], e["block"], e["dial"], e["health"]) for e in news["hosts"]] == [
+        ("h1", 3, "n0.h1:1", "SERVING")
+    ]
+    platform.put("h1", "draining", late=False)
+    status, [news] = await get(face, "/discovery/hosts?watch=1&from=1")
+    assert [(e["host"], e["block"], e["health"]) for e in news["hosts"]] == [("h1", 3, "DRAINING")]
+    assert world.of(rec.Told)[-1].state == "draining"
+    platform.lose()
+    assert (await get(face, "/discovery/hosts?watch=1&from=1"))[0] == 503
+    platform.stop()
+
+
+async def post(face: Discovery, body: bytes) -> int:
+    """Post notices."""
+
+    def run() -> int:
+        client = http.client.HTTPConnection(*face.address, timeout=20)
+        client.request("POST", "/v1/notices", body)
+        return client.getresponse().status
+
+    return await soon(asyncio.get_running_loop().run_in_executor(None, run))
+
+
+async def test_notices_are_taken_also_while_discovery_is_down(world: Set) -> None:
+    platform = Platform(world.writer, (0.0, 0.0), random.Random(1))
+    heard: list[rec.Notice] = []
+    platform.ended = heard.append
+    face = await platform.face("n0")
+    platform.lose()
+    body = b'{"ref":"m1","result":"dead"}\n{"ref":"m2","result":"bounced","wait_ms":500}\n'
+    assert await post(face, body) == 204
+    assert [(n.id, n.result, n.wait_us) for n in heard] == [("m1", "dead", 0), ("m2", "bounced", 500_000)]
+    assert await post(face, b'{"ref":"m1","result":"lost"}\n') == 400
+    assert await post(face, b"nonsense") == 400
+    assert len(heard) == 2
+    platform.stop()
+
+
+def test_a_clients_words_are_those_of_an_independent_library() -> None:
+    words = (b"ENQUEUE", b"0" * 16, b"m1", b"c=x,d=1", bytes(range(256)))
+    assert packed(*words) == hiredis.pack_command(words)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("line", "what", "wait_us"),
+    [
+        (b"+OK\r\n", "taken", 0),
+        (b"-BUSY 250\r\n", "refused", 250_000),
+        (b"-BUSY\r\n", "refused", 0),
+        (b"-ERR no\r\n", "failed", 0),
+        (b":1\r\n", "failed", 0),
+    ],
+)
+def test_answers_in_the_records_words(line: bytes, what: str, wait_us: int) -> None:
+    assert (heard_of(line).what, heard_of(line).wait_us) == (what, wait_us)
+
+
+class Scripted:
+    """A relay that answers by script and reads requests with hiredis."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.answers, self.seen = list(answers), list[list[bytes]]()
+        self.connections = 0
+
+    async def start(self) -> Relay:
+        """Listen; the relay as clients see it."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Relay("n0", self.server.sockets[0].getsockname())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        parser = hiredis.Reader()
+        while data := await reader.read(4096):
+            parser.feed(data)
+            while (words := parser.gets()) is not False:
+                self.seen.append(words)
+                answer = self.answers.pop(0) if self.answers else b"+OK\r\n"
+                if answer is None:
+                    writer.close()
+                    return
+                writer.write(answer)
+
+
+async def handed_in(world: Set, script: Scripted, until: Callable[[], bool], **habits: Any) -> Clients:
+    """One message by a client with these habits, until something is so."""
+    known: dict[str, Any] = {"retries": 2, "backoff_s": (0.01, 0.01), "honour": 1.0}
+    clients = Clients(world.writer, ClientsTable(**(known | habits)), random.Random(1))
+    relay = await script.start()
+    cls = draw.head_of(SCENARIO).classes[0]
+    arrival = draw.Arrival(0.0, 0, 7, cls.name, "m", "", 5)
+    task = asyncio.create_task(clients.message(relay, arrival, cls))
+
+    async def wait() -> None:
+        while not until():
+            await asyncio.sleep(0.01)
+
+    await soon(wait())
+    task.cancel()
+    script.server.close()
+    return clients
+
+
+async def test_a_refused_message_comes_again_under_a_new_id_after_its_wait(world: Set) -> None:
+    script = Scripted(b"-BUSY 120\r\n", b"-BUSY\r\n")
+    await handed_in(world, script, lambda: len(world.of(rec.Said)) == 3, marks=True)
+    first, second, third = world.of(rec.Ask)
+    assert len({first.id, second.id, third.id}) == 3
+    assert (first.first, second.first, third.first) == ("", first.id, first.id)
+    assert first.key == second.key == third.key != ""
+    assert second.at - first.at >= 120_000
+    assert [b"r=1" in words[3] for words in script.seen] == [False, True, True]
+    assert [said.what for said in world.of(rec.Said)] == ["refused", "refused", "taken"]
+    assert second.left_us < first.left_us
+
+
+async def test_a_kept_connection_that_closes_is_no_lost_request(world: Set) -> None:
+    script = Scripted(b"-BUSY\r\n", None)
+    await handed_in(world, script, lambda: len(world.of(rec.Said)) == 2)
+    assert [said.what for said in world.of(rec.Said)] == ["refused", "taken"]
+    assert [words[2] for words in script.seen[1:]] == [script.seen[1][2]] * 2  # the same id once more
+    assert script.connections == 2
+
+
+async def test_a_silent_relay_is_left_and_asked_again(world: Set) -> None:
+    script = Scripted(b"")
+    await handed_in(world, script, lambda: len(world.of(rec.Said)) == 2, answer_s=0.1)
+    assert [said.what for said in world.of(rec.Said)] == ["silent", "taken"]
+    assert b"again=1" in script.seen[1][3]
+
+
+async def test_a_bounced_message_comes_again_and_a_dead_one_does_not(world: Set) -> None:
+    script = Scripted()
+    clients = await handed_in(world, script, lambda: len(world.of(rec.Said)) == 1)
+    assert clients.open == 1
+    clients.ended(rec.Notice(0, "n0", world.of(rec.Ask)[0].id, "dead"))
+    assert clients.open == 0
