--- a/rig/record.py
+++ b/rig/record.py
@@ -230,10 +230,13 @@
 
 
 class End(Event, frozen=True, tag="end"):
-    """The last line: how many events came before it, and the rig's own CPU time in seconds."""
+    """The last line: how many events came before it, the rig's own CPU time in seconds, and by how much (us)
+    its event loop was late at worst.
+    """
 
     events: int
     rig_cpu_s: float = 0.0
+    late_us: int = 0
 
 
 AnyEvent = (
@@ -278,15 +281,17 @@
             listener(event)
 
     def add(self, event: AnyEvent) -> None:
-        """Take an event in."""
+        """Take an event in; what connections still do once the record is closed is no part of the run."""
+        if self._file.closed:
+            return
         self.count += 1
         self._put(event)
 
-    def close(self, cpu_s: float, others: Iterable[AnyEvent] = ()) -> None:
+    def close(self, cpu_s: float = 0.0, late_us: int = 0, others: Iterable[AnyEvent] = ()) -> None:
         """Write the last line, behind what other processes have seen."""
         for event in others:
             self.add(event)
-        self._put(End(self.now, self.count, cpu_s))
+        self._put(End(self.now, self.count, cpu_s, late_us))
         self._file.close()
 
 
--- /dev/null
+++ b/tests/rig/test_cli.py
@@ -0,0 +1,97 @@
+"""The rig's commands on a run of a second and a half: run, check, report, replay, and what cannot be used."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from mallowlug.cli.main import main
+from rig import record as rec
+
+SMALL = """\
+name = "small"
+seed = 1
+length_s = 1.5
+
+[load]
+rate_per_s = 30.0
+
+[relays]
+count = 1
+
+[partners]
+destinations = 3
+
+[[event]]
+at_s = 0.5
+what = "rude"
+count = 9
+len_s = 0.5
+"""
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """The folder of a run that went well."""
+    folder = tmp_path_factory.mktemp("rig")
+    (folder / "small.toml").write_text(SMALL, encoding="utf-8")
+    assert main(["rig", "run", str(folder / "small.toml"), "--out", str(folder / "out")]) == 0
+    return folder
+
+
+def test_a_run_leaves_a_whole_record_and_a_report(played: Path) -> None:
+    record = rec.read(played / "out" / "record.jsonl")
+    assert record.whole
+    assert {rude.end for rude in record.events if isinstance(rude, rec.Rude)} <= {"error", "close"}
+    page = (played / "out" / "report.html").read_text(encoding="utf-8")
+    assert "<svg" in page
+    assert "Rules: <b>kept</b>, 0 breaches" in page
+
+
+def test_a_record_is_checked_and_reported_again(played: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    record = str(played / "out" / "record.jsonl")
+    assert main(["rig", "check", record]) == 0
+    assert "rules: kept, 0 breaches" in capsys.readouterr().out
+    assert main(["rig", "report", record, "--out", str(played / "again.html")]) == 0
+    assert (played / "again.html").stat().st_size > 10_000
+
+
+def test_a_truncated_record_ends_with_3(played: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    data = (played / "out" / "record.jsonl").read_bytes()
+    (played / "cut.jsonl").write_bytes(data[:-10])
+    assert main(["rig", "check", str(played / "cut.jsonl")]) == 3
+    assert "rules: unknown" in capsys.readouterr().out
+
+
+def test_a_replay_brings_the_same_first_tries(played: Path) -> None:
+    record = played / "out" / "record.jsonl"
+    assert main(["rig", "replay", str(record), "--out", str(played / "replayed")]) == 0
+    before, after = (
+        [(e.dest, e.cls, e.member) for e in rec.read(path).events if isinstance(e, rec.Ask) and not e.first]
+        for path in (record, played / "replayed" / "record.jsonl")
+    )
+    assert before == after
+    assert len(before) > 10
+
+
+def test_what_cannot_be_used_ends_with_2_before_anything_is_started(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(SMALL.replace("1.5", "-1.5").replace("30.0", "0.0"), encoding="utf-8")
+    for command in ("run", "check"):
+        out = ["--out", str(tmp_path / "out")] if command == "run" else []
+        assert main(["rig", command, str(path), *out]) == 2
+        told = capsys.readouterr().err.splitlines()
+        assert [line.split(": ")[:2] for line in told] == [
+            [f"{path}:3", "length_s"],
+            [f"{path}:6", "load.rate_per_s"],
+        ]
+    assert not (tmp_path / "out").exists()
+
+
+def test_a_folder_that_holds_a_record_is_not_written_over(played: Path) -> None:
+    record = (played / "out" / "record.jsonl").read_bytes()
+    assert main(["rig", "run", str(played / "small.toml"), "--out", str(played / "out")]) == 2
+    assert (played / "out" / "record.jsonl").read_bytes() == record
--- /dev/null
+++ b/tests/rig/test_models.py
@@ -0,0 +1,233 @@
+"""What decides in the rig without I/O: cold budgets, endpoints, draws, scenarios, the live view's counts."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowlug.toml_check import FileMistakesError
+from rig import cold, draw, replay, scenario
+from rig import record as rec
+from rig.host_model import HostModel, Job, KeyMemory, Refusal, effects
+from rig.live import Live
+from rig.scenario import EventTable, KindTable, Scenario
+from tests.rig.story import SECOND, Story
+from tests.world import ROOT
+
+RETURN = cold.Return(10 * SECOND, 4.0, 0.25, 10 * SECOND)
+KIND = KindTable(name="lots", share=1.0)
+
+
+def model(**changed: Any) -> HostModel:
+    """An endpoint with two servers, room for two in line, 10 messages a second."""
+    plan = draw.HostPlan("h", 1, "a", KIND, 10.0, 10.0, 2, 2, 1.0, 0.0, 0.0, 0.25, 10.0)
+    kind = KIND.model_copy(update=changed)
+    return HostModel(replace(plan, kind=kind), random.Random(1))
+
+
+def test_capacity_grows_evenly_from_cold_to_warm() -> None:
+    shares = [RETURN.share(at * SECOND) for at in (9, 10, 15, 20, 30)]
+    assert shares == [0.0, 0.25, pytest.approx(0.625), 1.0, 1.0]
+    assert RETURN.work(10 * SECOND, 20 * SECOND) == pytest.approx(4 * 10 * 0.625)
+    assert RETURN.work(18 * SECOND, 22 * SECOND) == pytest.approx(4 * (2 * 0.925 + 2))
+
+
+@given(st.integers(0, 30), st.integers(0, 30), st.integers(0, 30))
+def test_work_adds_up(a: int, b: int, c: int) -> None:
+    first, second, third = (10 * SECOND + at * SECOND for at in sorted((a, b, c)))
+    whole = RETURN.work(first, third)
+    assert whole == pytest.approx(RETURN.work(first, second) + RETURN.work(second, third))
+
+
+@given(st.floats(0.1, 0.99), st.integers(0, 999))
+def test_what_keeps_to_a_share_of_the_present_capacity_is_never_over(share: float, phase: int) -> None:
+    arrivals, at, level = list[tuple[int, float]](), RETURN.at_us + phase * 1000, 0.0
+    while at < RETURN.at_us + RETURN.warm_us:
+        at += 10_000
+        level += share * 1.5 * RETURN.share(at) * RETURN.per_s / 100
+        if level >= 1:
+            arrivals.append((at, 1.0))
+            level -= 1
+    assert cold.overrun(RETURN, arrivals, 1.5, 3 * SECOND) is None
+
+
+def test_a_burst_is_over_and_the_same_later_is_not() -> None:
+    burst = [(RETURN.at_us + n * 1000, 1.0) for n in range(9)]
+    found = cold.overrun(RETURN, burst, 1.5, 3 * SECOND)
+    assert found is not None
+    assert found[0] == RETURN.at_us
+    assert cold.overrun(RETURN, [(at + 10 * SECOND, n) for at, n in burst], 1.5, 3 * SECOND) is None
+
+
+def test_an_endpoint_serves_queues_and_refuses() -> None:
+    host = model()
+    offered = [host.offer(Job(number, 1, 0.2), 0.0) for number in range(5)]
+    assert offered == [0.2, 0.2, None, None, Refusal(0.0)]
+    following = host.done(0.2)
+    assert following is not None
+    assert (following[0].call, following[1]) == (2, 0.2)
+    assert host.done(0.4) is not None
+    assert host.done(0.4) is None
+    assert host.running == 1
+
+
+@given(st.lists(st.floats(0.001, 0.5), min_size=1, max_size=60), st.floats(1.0, 20.0))
+def test_a_limit_lets_through_its_rate_and_one_burst(gaps: list[float], rate: float) -> None:
+    host, now, passed = model(limited=True, tells_wait=1.0), 0.0, 0
+    host.plan = replace(host.plan, per_s=rate, servers=1000)
+    for number, gap in enumerate(gaps):
+        now += gap
+        passed += isinstance(host.offer(Job(number, 1, 0.01), now), float)
+    assert passed <= 1 + max(1.0, rate / 2) + rate * now
+
+
+@given(st.floats(1.0, 20.0))
+def test_after_a_told_wait_there_is_room(rate: float) -> None:
+    host = model(limited=True, tells_wait=1.0, refused_count=False)
+    host.plan = replace(host.plan, per_s=rate)
+    while not isinstance(refusal := host.offer(Job(1, 1, 0.0), 0.0), Refusal):
+        host.done(0.0)
+    assert refusal.wait_s > 0
+    assert not isinstance(host.offer(Job(2, 1, 0.0), refusal.wait_s + 1e-6), Refusal)
+
+
+def test_cold_and_slow_take_longer() -> None:
+    host = model()
+    assert host.takes(Job(1, 1, 0.1), 100.0) == pytest.approx(0.1)
+    host.slow = 8.0
+    assert host.takes(Job(1, 1, 0.1), 100.0) == pytest.approx(0.8)
+    host.returned(100.0, emptied=True)
+    assert host.takes(Job(1, 1, 0.1), 100.0) == pytest.approx(0.4)
+    assert host.takes(Job(1, 1, 0.1), 111.0) == pytest.approx(0.1)
+
+
+def test_keys_are_remembered_for_their_window() -> None:
+    memory = KeyMemory()
+    keys = [("k", 25.0), ("", 0.0), ("k", 25.0), ("l", 25.0)]
+    assert effects(memory, keys, 0.0) == [True, True, False, True]
+    assert effects(memory, [("k", 25.0)], 24.9) == [False]
+    assert effects(memory, [("k", 25.0)], 25.1) == [True]
+
+
+def test_every_shipped_scenario_is_in_order() -> None:
+    paths = sorted((ROOT / "scenarios").glob("*.toml"))
+    assert {path.stem for path in paths} >= {"calm", "rush", "churn", "rough", "reload", "links", "demo"}
+    for path in paths:
+        assert scenario.load(path).name == path.stem
+
+
+WRONG = """\
+name = "wrong"
+seed = -1
+length_s = 10.0
+
+[load]
+rate_per_s = "many"
+colour = 1
+
+[partners]
+endpoints = [3, 1]
+
+[[event]]
+at_s = 1.0
+what = "explode"
+"""
+
+
+def test_every_mistake_in_a_scenario_is_named_with_its_line(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(WRONG, encoding="utf-8")
+    with pytest.raises(FileMistakesError) as caught:
+        scenario.load(path)
+    assert [(m.line, m.key) for m in caught.value.mistakes] == [
+        (2, "seed"),
+        (6, "load.rate_per_s"),
+        (7, "load.colour"),
+        (10, "partners.endpoints"),
+        (14, "event.0.what"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        ({"at_s": 10.0, "what": "kill"}, "event.0.at_s"),
+        ({"at_s": 1.0, "what": "kill", "relay": 2}, "event.0.relay"),
+        ({"at_s": 1.0, "what": "refuse", "dest": 10}, "event.0.dest"),
+        ({"at_s": 1.0, "what": "heavy_tail", "cls": "none"}, "event.0.cls"),
+    ],
+)
+def test_an_event_that_names_what_is_not_there_is_a_mistake(event: dict[str, Any], reason: str) -> None:
+    with pytest.raises(ValueError, match=reason):
+        drawn(event=[event])
+
+
+def drawn(seed: int = 1, **changed: Any) -> Scenario:
+    """A scenario of ten seconds."""
+    known = {"name": "s", "seed": seed, "length_s": 10.0, "load": {"rate_per_s": 100.0}}
+    return Scenario.model_validate(known | changed)
+
+
+@given(st.integers(0, 1000))
+def test_a_seed_draws_the_same_world_twice(seed: int) -> None:
+    assert draw.hosts_of(drawn(seed)) == draw.hosts_of(drawn(seed))
+    assert draw.arrivals_of(drawn(seed)) == draw.arrivals_of(drawn(seed))
+
+
+def test_traffic_has_the_rate_and_the_shares_that_were_asked_for() -> None:
+    arrivals = [arrival for seed in range(20) for arrival in draw.arrivals_of(drawn(seed))]
+    assert all(a.at_s <= b.at_s for a, b in pairwise(draw.arrivals_of(drawn(1))))
+    assert len(arrivals) == pytest.approx(20_000, rel=0.05)
+    classes = Counter(arrival.cls for arrival in arrivals)
+    assert classes["payment-postings"] / len(arrivals) == pytest.approx(0.69, abs=0.02)
+
+
+@given(st.integers(0, 200), st.floats(0.05, 0.6))
+def test_an_outage_strikes_one_zone_with_at_most_its_part(seed: int, part: float) -> None:
+    world = drawn(seed)
+    hosts = draw.hosts_of(world)
+    event = EventTable(at_s=1.0, what="refuse", part=part)
+    names = draw.struck(world, hosts, event, random.Random(seed))
+    dests = {plan.dest for plan in hosts if plan.name in names}
+    weights = draw.weights_of(world)
+    assert names
+    assert len(dests) == 1 or sum(weights[dest] for dest in dests) <= part + 1e-9
+
+
+def test_replayed_traffic_is_the_first_tries_and_nothing_else() -> None:
+    story = Story().ask(100, "a", said="refused").ask(600, "b", first="a").ask(900, "c", "keyed", dest=2)
+    story.add(rec.Ask(901_000, "c", "n0", 2, "keyed", "m", SECOND))  # once more on a new connection
+    traffic = replay.traffic_of(story.record())
+    assert [(a.at_s, a.dest, a.cls) for a in traffic] == [(0.0, 1, "safe"), (pytest.approx(0.8), 2, "keyed")]
+
+
+def test_a_record_without_a_scenario_cannot_be_replayed_in_its_own_world() -> None:
+    with pytest.raises(rec.RecordError, match="the head holds no scenario"):
+        replay.scenario_of(Story().record())
+
+
+def test_a_scenario_survives_its_record() -> None:
+    world = drawn(event=[{"at_s": 1.0, "what": "kill"}])
+    story = Story()
+    story.head = draw.head_of(world)
+    assert replay.scenario_of(story.record()) == world
+
+
+def test_the_live_view_counts_what_is_open() -> None:
+    live = Live()
+    story = Story().ask(0, "a").ask(0, "b").ask(0, "c", said="refused")
+    story.call(10, "a").call(10, "b", end="open").notice(100, "b")
+    for event in story.record().events:
+        live.see(event)
+    assert live.open == {"n0": 0}
+    assert (live.counts["asked"], live.counts["taken"], live.counts["refused"]) == (3, 2, 1)
+    assert live.out["a1"] == 1
+    assert live.relays == {"n0": "ready"}
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -177,6 +177,11 @@
     .ask(0, "m").ask(0, "o").call(5, "m", end="refused", wait=1000).call(140, "o").call(1100, "m"),
     "another route": lambda: Story()
     .ask(0, "m").call(5, "m", end="refused", wait=1000).call(500, "m", host="a2"),
+    "a crash that is seen late ends a wait": lambda: Story()
+    .ask(0, "m").call(5, "m", end="refused", wait=2000).call(1500, "m")
+    .add(rec.Process(100 * MS, "n0", "exit"), rec.Process(1400 * MS, "n0", "ready")),
+    "cut by a crash that is seen late": lambda: Story()
+    .ask(0, "m", said="").add(rec.Said(5 * MS, "m", "cut"), rec.Process(90 * MS, "n0", "exit")),
     "a restart ends a wait": lambda: Story()
     .ask(0, "m").call(5, "m", end="refused", wait=2000).call(1500, "m")
     .add(rec.Process(SECOND, "n0", "kill"), rec.Process(1400 * MS, "n0", "ready")),
@@ -215,6 +220,16 @@
     assert "m has no end" in verdict.reasons[0]
 
 
+def test_a_rig_that_ran_late_is_not_believed_about_times() -> None:
+    story = Story().ask(0, "m").notice(12_400, "m")
+    for late_ms, state in ((100, "broken"), (200, "unknown")):
+        record = story.record()
+        end = rec.End(60 * SECOND, len(record.events) - 1, 0.0, late_ms * MS)
+        verdict = judge(rec.Record(record.head, [*record.events[:-1], end], True))
+        assert verdict.state == state
+    assert verdict.reasons == ("the rig ran late, by 200 ms at worst",)
+
+
 def test_a_breach_in_a_truncated_record_is_a_breach() -> None:
     story = Story().ask(0, "m", "unsafe").call(5, "m").call(100, "m")
     assert judge(story.record(whole=False)).state == "broken"
