--- a/rig/cli.py
+++ b/rig/cli.py
@@ -45,6 +45,9 @@
     report = commands.add_parser("report", help="write a record's report as one HTML file")
     report.add_argument("record", type=Path)
     report.add_argument("--out", type=Path)
+    traffic = commands.add_parser("traffic", help="keep of a record what clients wanted, to replay it")
+    traffic.add_argument("record", type=Path)
+    traffic.add_argument("--out", type=Path, required=True)
     crash = commands.add_parser("crash", help="kill the relay at every fail point, start it again, judge")
     crash.add_argument("--pairs", type=int, default=40, help="pairs of points beside the single ones")
     crash.add_argument("--seed", type=int, default=1, help="of the worlds and, for other pairs, of the pairs")
@@ -147,6 +150,10 @@
         record = rec.read(args.file if args.command == "check" else args.record)
         if args.command == "check":
             return told(judge(record), record)
+        if args.command == "traffic":
+            rec.save(replay.traffic_only(record), args.out)
+            print(args.out)
+            return 0
         if args.command == "report":
             from rig import report  # noqa: PLC0415
 
--- a/rig/faulty.py
+++ b/rig/faulty.py
@@ -19,13 +19,12 @@
 import os
 import signal
 import sys
-import types
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from mallowlug import compose
-from mallowlug.cli import run as relay_run
+from mallowlug.cli.run import run
 from mallowlug.core import journal, relay
 from mallowlug.core.model import Notice
 from mallowlug.directory import discovery
@@ -201,11 +200,11 @@
         return found
 
     notices.Notices._post = posting  # type: ignore[method-assign]
-    run = discovery.Watch._run
+    watch = discovery.Watch._run
 
     async def running(self: discovery.Watch, address: Any) -> None:
         WATCHED.add(address)
-        await run(self, address)
+        await watch(self, address)
 
     discovery.Watch._run = running  # type: ignore[method-assign]
 
@@ -278,8 +277,7 @@
     if plant := os.environ.get("RIG_PLANT"):
         note("plant", plant)
         PLANTS[plant]()
-    assert isinstance(relay_run, types.ModuleType)
-    return relay_run.run()
+    return run()
 
 
 if __name__ == "__main__":
--- a/rig/record.py
+++ b/rig/record.py
@@ -295,6 +295,11 @@
         self._file.close()
 
 
+def save(record: Record, path: Path) -> None:
+    """Write a record that is held; the times stay as they are."""
+    path.write_bytes(b"".join(ENCODER.encode(event) + b"\n" for event in (record.head, *record.events)))
+
+
 def lines(path: Path) -> Iterator[tuple[int, AnyEvent | None]]:
     """Each line's number and event; None for a last line without its end, which a killed writer leaves."""
     try:
--- a/rig/replay.py
+++ b/rig/replay.py
@@ -11,20 +11,31 @@
 from rig.scenario import Scenario
 
 
+def first_tries(record: rec.Record) -> list[rec.Ask]:
+    """What clients wanted, each message once; retries are their habits and come by themselves."""
+    found: dict[str, rec.Ask] = {}
+    for event in record.events:
+        if isinstance(event, rec.Ask) and not event.first:
+            found.setdefault(event.id, event)  # one written once more on a new connection is one message
+    return list(found.values())
+
+
+def traffic_only(record: rec.Record) -> rec.Record:
+    """A record of the first tries alone: small enough to be shipped, and replayed like any other."""
+    firsts = first_tries(record)
+    end = rec.End(firsts[-1].at if firsts else 0, len(firsts))
+    return rec.Record(record.head, [*firsts, end], True)
+
+
 def traffic_of(record: rec.Record) -> list[Arrival]:
-    """The first tries, counted from the first of them; retries are the clients' habits and come by
-    themselves.
-    """
-    firsts = [event for event in record.events if isinstance(event, rec.Ask) and not event.first]
+    """The first tries as arrivals, counted from the first of them."""
+    firsts = first_tries(record)
     relays = {name: number for number, name in enumerate(sorted({ask.relay for ask in firsts}))}
     start_us = firsts[0].at if firsts else 0
-    seen, found = set[str](), list[Arrival]()
-    for ask in firsts:
-        if ask.id not in seen:  # one that was written once more on a new connection is one message
-            seen.add(ask.id)
-            at_s, relay = (ask.at - start_us) / 1e6, relays[ask.relay]
-            found.append(Arrival(at_s, relay, ask.dest, ask.cls, ask.member, ask.order, ask.size))
-    return found
+    return [
+        Arrival((a.at - start_us) / 1e6, relays[a.relay], a.dest, a.cls, a.member, a.order, a.size)
+        for a in firsts
+    ]
 
 
 def scenario_of(record: rec.Record) -> Scenario:
--- a/tests/rig/test_models.py
+++ b/tests/rig/test_models.py
@@ -209,6 +209,24 @@
     assert [(a.at_s, a.dest, a.cls) for a in traffic] == [(0.0, 1, "safe"), (pytest.approx(0.8), 2, "keyed")]
 
 
+def test_traffic_alone_replays_as_its_record_does(tmp_path: Path) -> None:
+    story = Story().ask(100, "a", said="refused").ask(600, "b", first="a").ask(900, "c", "keyed", dest=2)
+    rec.save(replay.traffic_only(story.record()), tmp_path / "traffic")
+    kept = rec.read(tmp_path / "traffic")
+    assert kept.whole
+    assert replay.traffic_of(kept) == replay.traffic_of(story.record())
+    assert {type(event) for event in kept.events} == {rec.Ask, rec.End}
+
+
+def test_the_shipped_rush_hour_can_be_replayed() -> None:
+    record = rec.read(ROOT / "scenarios" / "rush-hour.jsonl")
+    assert record.whole
+    world, traffic = replay.scenario_of(record), replay.traffic_of(record)
+    assert world.name == "rush"
+    assert len(traffic) > 4000
+    assert len(traffic) / traffic[-1].at_s == pytest.approx(world.load.rate_per_s, rel=0.1)
+
+
 def test_a_record_without_a_scenario_cannot_be_replayed_in_its_own_world() -> None:
     with pytest.raises(rec.RecordError, match="the head holds no scenario"):
         replay.scenario_of(Story().record())
