--- a/rig/platform.py
+++ b/rig/platform.py
@@ -92,7 +92,7 @@
         elif self.down:
             request.connection.answer(503)
         elif "watch=1" not in request.target:
-            request.connection.answer(200, {}, json.dumps(self._dialed(self.listing.whole())).encode())
+            request.connection.answer(200, {}, json.dumps(self.dialed(self.listing.whole())).encode())
         else:
             request.connection.stream()
             if not self.watches:
@@ -118,17 +118,17 @@
             self.ended(notice)
         request.connection.answer(204)
 
-    def _dialed(self, news: dict[str, Any]) -> dict[str, Any]:
+    def dialed(self, news: dict[str, Any]) -> dict[str, Any]:
         """News with the addresses under which this relay reaches the endpoints."""
         return news | {"hosts": [e | {"dial": self.dials(e["host"])} for e in news["hosts"]]}
 
     def _tell(self, connection: Connection, news: dict[str, Any]) -> None:
-        news = self._dialed(news)
+        news = self.dialed(news)
         states: dict[str, Any] = {word: state for state, word in STATES.items()}
         for entry in news["hosts"] if not self._muted else ():
             self.writer.add(rec.Told(self.writer.now, self.relay, entry["host"], states[entry["health"]]))
         connection.chunk(json.dumps(news).encode() + b"\n")
-        self.known = self._dialed(self.listing.whole())
+        self.known = self.dialed(self.listing.whole())
 
     def change(self, entry: dict[str, Any], seq: int) -> None:
         """Tell the watches what changed."""
