One place each for a bad call, for sleeping until a time, and a route's destinations

Change: Book.bad_call, run.sleep_until, and the set gathered once. Behaviour is unchanged.

The relay is untouched.

--- a/rig/crash.py
+++ b/rig/crash.py
@@ -169,7 +169,6 @@
     return outcome
 
 
-
 async def run_all(cases: Sequence[Case], folder: Path, seed: int = 1) -> list[Outcome]:
     """Play cases side by side, so many at once."""
     room = asyncio.Semaphore(AT_ONCE)
--- a/rig/hosts.py
+++ b/rig/hosts.py
@@ -77,6 +77,11 @@
         self.spoil = 0.0  # share of answers that come spoilt
         self.bad_calls = 0
 
+    def bad_call(self, detail: str) -> None:
+        """Note a call that the protocol does not know."""
+        self.bad_calls += 1
+        self.writer.add(rec.Mark(self.writer.now, "bad call", detail))
+
     def next(self) -> int:
         """A number for a call."""
         self.number += 1
@@ -112,8 +117,7 @@
             self.book.writer.add(rec.Gone(self.book.writer.now, out.number, by))
 
     def unreadable(self, connection: Connection) -> None:
-        self.book.bad_calls += 1
-        self.book.writer.add(rec.Mark(self.book.writer.now, "bad call", f"{self.plan.name}: no request"))
+        self.book.bad_call(f"{self.plan.name}: no request")
 
     def asked(self, request: Request) -> None:
         """A call has come: it is taken in, refused, or taken and never answered."""
@@ -126,8 +130,7 @@
             if unknown:
                 raise BadCallError(f"nobody handed in {unknown[0]}")
         except (BadCallError, UnicodeDecodeError) as error:
-            book.bad_calls += 1
-            book.writer.add(rec.Mark(book.writer.now, "bad call", f"{self.plan.name}: {error}"))
+            book.bad_call(f"{self.plan.name}: {error}")
             connection.answer(400)
             self._rest(connection)
             return
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -449,6 +449,7 @@
     def _seen(self, route: str, out_us: int, back_us: int) -> set[str]:
         """Relays that saw a call fail or be refused there during the outage, or must have."""
         seen = set[str]()
+        dests = {h.dest for h in self.books.hosts.values() if self.books.route(h.host) == route}
         for message in self.books.messages.values():
             here = [a for a in message.attempts if self.books.route(a.host) == route]
             failed = any(
@@ -457,7 +458,6 @@
                 for a in here
             )  # fmt: skip
             end_us = message.end_us if message.end_us >= 0 else self.books.end_us
-            dests = {h.dest for h in self.books.hosts.values() if self.books.route(h.host) == route}
             waited = message.taken_us >= 0 and message.ask.at < back_us and end_us > out_us
             if failed or (waited and message.ask.dest in dests and not here):
                 seen.add(message.ask.relay)
--- a/rig/run.py
+++ b/rig/run.py
@@ -193,10 +193,9 @@
         arrivals = self.options.traffic
         if arrivals is None:
             arrivals = draw.arrivals_of(self.scenario)
-        start_s, loop, tasks = asyncio.get_running_loop().time(), asyncio.get_running_loop(), []
+        start_s, tasks = asyncio.get_running_loop().time(), []
         for arrival in arrivals:
-            if (wait_s := start_s + arrival.at_s - loop.time()) > 0:
-                await asyncio.sleep(wait_s)
+            await sleep_until(start_s + arrival.at_s)
             door, cls = self.doors[arrival.relay % len(self.doors)], self.classes[arrival.cls]
             tasks.append(self.spawn(self.clients.message(door, arrival, cls)))
         longest_s = max(cls.deadline_us for cls in self.classes.values()) / 1e6 + SETTLE_S
@@ -205,11 +204,9 @@
 
     async def events(self) -> None:
         """Let everything happen that the scenario names, each at its time."""
-        start_s, loop = asyncio.get_running_loop().time(), asyncio.get_running_loop()
-        tasks = []
+        start_s, tasks = asyncio.get_running_loop().time(), []
         for event in sorted(self.scenario.events, key=lambda item: item.at_s):
-            if (wait_s := start_s + event.at_s - loop.time()) > 0:
-                await asyncio.sleep(wait_s)
+            await sleep_until(start_s + event.at_s)
             tasks.append(self.spawn(self._happen(event)))
         if tasks:
             await asyncio.gather(*tasks)
@@ -343,6 +340,12 @@
     return marks
 
 
+async def sleep_until(due_s: float) -> None:
+    """Sleep until a time of the loop's clock; not at all where it has passed."""
+    wait_s = due_s - asyncio.get_running_loop().time()
+    if wait_s > 0:
+        await asyncio.sleep(wait_s)
+
 
 def described(event: EventTable) -> str:
     """An event's figures, as a reader wants them."""
