--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -35,6 +35,7 @@
 ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
 PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
+PROVED_PART = 2  # one in so many of the time in which a cold server falls: calls at once behind a proof
 CARE_US, FURTHER = 30_000_000, 0.2  # us for which an outage is told to a later life; weight within a call
 NEVER_US = 1 << 62
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
@@ -136,7 +137,7 @@
         """
         for host, endpoint in list(self.endpoints.items()):
             warm_us, guards = self.set.warm_within_us, endpoint.guards
-            bound_us = max(max(g.wait_us, g.next_us, g.cold_us + warm_us) for g in guards)
+            bound_us = max(max(g.clear_us, g.cold_us + warm_us) for g in guards)
             over = self.now - endpoint.gone_us > FORGET_US and self.now > bound_us
             if endpoint.listing is Listing.GONE and over and not endpoint.calls:
                 del self.endpoints[host], self.dests[endpoint.dest].endpoints[host]
@@ -275,6 +276,11 @@
         self._judge(endpoint, failed)
         if verdict is not Verdict.FULL:
             endpoint.records[name].bad.add(failed, self.now)
+        if verdict is Verdict.ERROR and endpoint.ratio.share(self.now) > OUTAGE_MARK:
+            # An outage goes on: no call before now can weigh on its return, so the spacing begins anew.
+            for guard in endpoint.guards:
+                guard.proved_us = self.now
+                guard.spaced_us = self.now - self.set.fall_us // PROVED_PART
         if failed:
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
             self._fail(endpoint, guard, verdict, call.sent_us)
@@ -331,6 +337,8 @@
                 self._care(endpoint, CARE_US)
             if guard.strikes == 3:
                 self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
+        if verdict is Verdict.ERROR:  # it answers: the next call may be served, and can be made at once
+            return
         # While most trials fail, this is an outage, and the group's trials together have to fit what a cold
         # server bears: each relay pauses by its part. A refusal beside other failures is the outage's own.
         gap_us = min(RETRY_US * 2.0 ** min(guard.strikes - 1, 10), RETRY_MAX_US)
@@ -358,12 +366,17 @@
         return part / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
 
     def _space(self, endpoint: Endpoint, guard: Guard, part: float = 1.0) -> None:
-        """A cold server gets this relay's part of what it bears, spread over its time to warm."""
+        """A cold server gets this relay's part of what it bears, spread over its time to warm.
+
+        Behind a proof that the outage still went on, a few calls may go at once: few enough for its return.
+        """
         warm_us = max(1, self.set.warm_within_us)
         cold = max(0.0, 1 - (self.now - guard.cold_us) / warm_us)
         rate = self.set.fall_multiple * (1 - (1 - self.set.cold_from) * cold) * self._part(endpoint, guard)
         gap_us = part * min(1e6 / rate, max(RETRY_US, cold * warm_us))
-        guard.next_us = max(guard.next_us, self.now + int(gap_us))
+        ahead_us = self.set.fall_us // PROVED_PART
+        ahead_us *= self.now - guard.proved_us < ahead_us
+        guard.spaced_us = max(guard.spaced_us, self.now - ahead_us) + int(gap_us)
 
     def _give_up(self, message: Message) -> None:
         """Answer for good: a refusal where a retry is harmless, else a failure."""
@@ -456,7 +469,7 @@
             self.look = {}
         for number in looked:
             if (dest := self.dests[number]).held:
-                times = [max(max(g.wait_us, g.next_us) for g in e.guards) for e in dest.ready()]
+                times = [max(g.clear_us for g in e.guards) for e in dest.ready()]
                 times += [self.rests.get(m.key, 0) for m in dest.held.values() if m.key]
                 later = min((at_us for at_us in times if at_us > self.now), default=0)
                 if later and not self.now < dest.due_us <= later:  # one that is noted brings us here again
@@ -472,7 +485,7 @@
         """Whether one more call to the endpoint is within slots, cap, quota, wait, pace and suspicion."""
         others = dest.endpoints.values()
         full = self.calls_out >= self.set.slots or len(endpoint.calls) >= max(1, int(endpoint.quota))
-        if full or any(self.now < max(guard.wait_us, guard.next_us) for guard in endpoint.guards):
+        if full or any(self.now < guard.clear_us for guard in endpoint.guards):
             return False
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
             return False
@@ -505,8 +518,8 @@
                 self._space(endpoint, guard)
         else:  # what travels with others weighs a part of a call where one is cold
             for guard in (g for g in endpoint.guards if g.cold_us >= 0):
-                lone_us = max(0, guard.next_us - self.now) / (1 + FURTHER * (call.messages - 1))
-                guard.next_us += int(FURTHER * lone_us)
+                lone_us = max(0, guard.spaced_us - self.now) / (1 + FURTHER * (call.messages - 1))
+                guard.spaced_us += int(FURTHER * lone_us)
         call.messages, call.open = call.messages + 1, call.open + 1
         message.out[message.attempts], message.attempts = call, message.attempts + 1
         del self.dests[message.dest].held[message.id]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 import itertools
+import random
 from collections.abc import Callable
 
 from mossfront import interface as api
 from tests.checker import Checker
-from tests.support import KEYED, SAFE, SECOND, UNSAFE, arrival, ended, entry, roster, sends, settings
+from tests.support import (
+    KEYED,
+    SAFE,
+    SECOND,
+    SETTINGS,
+    UNSAFE,
+    arrival,
+    ended,
+    entry,
+    roster,
+    sends,
+    settings,
+)
 
 Answer = Callable[[int, api.Send, int], tuple[api.Verdict, int] | None]
 Feed = Callable[[int], list[api.Event]]
@@ -182,3 +195,57 @@
     during = [at_us for at_us, _ in log if 4 * SECOND < at_us < 8 * SECOND]
     assert 3 <= len(during) <= 30, "each gets a trial now and then"
     assert not [a for a in checker.trace if isinstance(a, api.Fail | api.Refuse)], "nothing is given up"
+
+
+def leaking(share: float, from_us: int, until_us: int) -> Answer:
+    """Meanwhile so many of all calls, drawn by a fixed seed, are answered with an error at once."""
+    rng = random.Random(7)
+
+    def answer(now_us: int, _send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+        failing = from_us <= now_us < until_us and rng.random() < share
+        return (api.Verdict.ERROR, 40_000) if failing else (OK, 120_000)
+
+    return answer
+
+
+def test_a_destination_that_mostly_answers_with_errors_is_tried_on() -> None:
+    """Four of five calls fail at once (second deployment, day rough-1): each further try may be served."""
+    checker = Checker(settings(hold_cap=500, max_attempts=8))
+    checker.step(0, [roster(entry("h1"), entry("h2"))])
+    drive(checker, 30 * SECOND, steady(100_000), leaking(0.8, 10 * SECOND, 30 * SECOND))
+    asked = [case for case in checker.cases.values() if 16 * SECOND < case.deadline_us < 30 * SECOND]
+    assert sum(case.over and not case.answers for case in asked) >= 0.35 * len(asked), "many are delivered"
+
+
+def test_no_burst_when_the_errors_end() -> None:
+    """What went out before the last error can't weigh on the return; what comes behind it is spaced."""
+    end_us, window_us, capacity = 18 * SECOND, SETTINGS.fall_us, 12.0  # calls/s: a little over the demand
+    checker = Checker(settings(hold_cap=500, max_attempts=8, group_size=1))
+    checker.step(0, [roster(entry("h1"))])
+    log = drive(checker, 26 * SECOND, steady(100_000, KEYED), leaking(0.9, 6 * SECOND, end_us))
+    back = [at_us for at_us, _ in log if at_us >= end_us]
+    assert len(back) > 10, "it is served again"
+    for start_us in back:
+        cold = max(0.0, 1 - (start_us + window_us / 2 - end_us) / SETTINGS.warm_within_us)
+        bears = SETTINGS.fall_multiple * capacity * (1 - (1 - SETTINGS.cold_from) * cold) * window_us / SECOND
+        assert sum(start_us <= at_us < start_us + window_us for at_us in back) <= bears
+
+
+def test_an_error_in_a_cold_return_opens_no_gate() -> None:
+    """One error among answers is no proof that an outage goes on."""
+
+    def calls_back(every: int) -> int:
+        """Calls in the first 4 s back from an outage, each so many of them answered with an error."""
+        checker, served = Checker(settings(hold_cap=500, group_size=1)), itertools.count(1)
+        checker.step(0, [roster(entry("h1"))])
+
+        def answer(now_us: int, _send: api.Send, _attempt: int) -> tuple[api.Verdict, int]:
+            if 6 * SECOND <= now_us < 12 * SECOND:
+                return api.Verdict.RESET, 10_000
+            return (OK if now_us < 12 * SECOND or next(served) % every else api.Verdict.ERROR), 60_000
+
+        log = drive(checker, 20 * SECOND, steady(100_000, KEYED), answer)
+        back = [at_us for at_us, _ in log if at_us >= 12 * SECOND]
+        return sum(at_us < back[0] + 4 * SECOND for at_us in back)
+
+    assert 0 < calls_back(6) <= 1.2 * calls_back(1000)
