Durable journals: accepted work outlasts the loss of power, drawn and judged in simulation

A message counts as taken on, a call's first byte goes out and an end is told only behind a sync; one serves all that a step decided, so Driver journals the whole step before it lets anything out. A failed sync is never believed the second time: the log is written anew.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -55,7 +55,7 @@
     """Run until SIGTERM or until the step loop breaks; the exit code."""
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[int] = loop.create_future()
-    journal = Journal(cfg.state, cfg.disk_bytes, system.disk)
+    journal = Journal(cfg.state, cfg.disk_bytes, system.disk, extras.durable)
 
     def crashed(_error: BaseException) -> None:
         if not ended.done():
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -54,6 +54,7 @@
 
     log_level: str = "INFO"
     fronts: tuple[FrontPlan, ...] = ()
+    durable: bool = False  # the journal outlasts the loss of the machine's power
 
 
 NOTHING = Extras()
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -1,7 +1,9 @@
 """The lasting record of accepted work: an append-only log with replay and compaction.
 
-A record is a frame (mark, length, CRC-32) around one JSON line and the message's body. Nothing is synced:
-what ``write`` has taken outlasts the process, and a machine that is lost takes the folder with it.
+A record is a frame (mark, length, CRC-32) around one JSON line and the message's body. What ``write`` has
+taken outlasts the process. A durable journal outlasts the loss of the machine's power as well: before a
+message counts as taken on, a call's first byte goes out or an end is told, its record is synced. Records that
+only take doubt away (proofs, confirmed ends) are not: without them a message is treated with more care.
 """
 
 from __future__ import annotations
@@ -94,14 +96,17 @@
 class Journal:
     """The log of one relay; ``recovered`` holds what the last life left unfinished."""
 
-    def __init__(self, folder: Path, disk_bytes: int, disk: Disk) -> None:
-        self._disk = disk
+    def __init__(self, folder: Path, disk_bytes: int, disk: Disk, durable: bool = False) -> None:
+        self._disk, self._folder, self._durable = disk, folder, durable
         self._path, self._spare = folder / "journal", folder / "journal.new"
         self._budget = disk_bytes - 4 * BLOCK
         self._live: dict[str, list[bytes]] = {}  # raw records of each message that is not over
         self._cares: dict[str, bytes] = {}  # by endpoint: the raw record of the care that is due there
         self._live_bytes = 0
         self._owed: list[bytes] = []  # notes that the disk did not take yet
+        # What was written since the last sync; whether one has failed: after that nothing written before it
+        # is known to be safe, and syncing again proves nothing (Rebello et al., USENIX ATC 2020).
+        self._unsynced, self._doubtful = False, False
         self.cares: dict[str, int] = {}  # by endpoint: until when (us) the last life owed it care
         self.recovered: dict[str, Recovered] = {}
         disk.unlink(self._spare)  # a compaction that did not end: the old log still counts
@@ -109,6 +114,9 @@
         self._size = self._replay(disk.read(self._path))
         # Appending behind a torn tail would hide the new record behind the damage at the next replay.
         disk.truncate(self._fd, self._size)
+        if durable:  # a log that is new has no name yet that lasts
+            self._name_synced()
+            self._unsynced = True
 
     def close(self) -> None:
         """Let go of the file."""
@@ -178,6 +186,30 @@
         if 2 * blocks(after) > self._budget:  # old and new log stand side by side during compaction
             raise JournalFullError("the budget is used up by open messages")
         self._append([(head, raw)])
+        try:
+            self.sync()
+        except JournalFullError:
+            self.over(ref)  # it is refused; a record that may be on the disk must not bring it back
+            raise
+
+    def sync(self) -> None:
+        """What was written is safe from the loss of power; where the journal is not durable, nothing is done.
+
+        ``JournalFullError`` where the disk fails: nothing that was written since the last sync is safe then.
+        """
+        if not self._durable or not self._unsynced:
+            return
+        if self._doubtful:
+            self._compact(forced=True)  # into a new file; it is synced there
+            if self._doubtful:
+                raise JournalFullError("a sync has failed, and no new log could be written")
+            return
+        try:
+            self._disk.sync(self._fd)
+        except OSError as error:
+            self._doubtful = True
+            raise JournalFullError(f"not synced: {error}") from error
+        self._unsynced = False
 
     def tries(self, tries: list[tuple[str, Attempt]]) -> None:
         """Attempts that are about to be made, in one write."""
@@ -237,15 +269,20 @@
             self._disk.truncate(self._fd, self._size)
             raise JournalFullError("short write")
         self._size += written
+        self._unsynced = True
         self._owed.clear()
         for head, raw in records:
             self._keep(head, raw)
 
-    def _compact(self) -> None:
-        """Write what is not over to a new log and put it in the old one's place."""
+    def _compact(self, forced: bool = False) -> None:
+        """Write what is not over to a new log and put it in the old one's place.
+
+        A durable one is synced before it takes the old one's name, and the name before it is relied on.
+        """
         live = (raw for records in self._live.values() for raw in records)
         data = b"".join((*live, *self._cares.values()))
-        if len(data) >= self._size or blocks(self._size) + blocks(len(data)) > self._budget:
+        small = len(data) < self._size or forced
+        if not small or blocks(self._size) + blocks(len(data)) > self._budget:
             return
         try:
             fd = self._disk.open(self._spare, APPEND | FRESH)
@@ -254,6 +291,8 @@
             return
         try:
             whole = self._disk.write(fd, data) == len(data)
+            if whole and self._durable:
+                self._disk.sync(fd)
             if whole:
                 self._disk.replace(self._spare, self._path)
         except OSError as error:
@@ -266,3 +305,15 @@
         self._disk.close(self._fd)
         self._fd, self._size = fd, len(data)
         self._owed.clear()  # what they say is in it
+        if self._durable:
+            self._name_synced()
+
+    def _name_synced(self) -> None:
+        """The new log has its name for good; else the loss of power may bring the old one back."""
+        try:
+            self._disk.sync_folder(self._folder)
+        except OSError as error:
+            LOG.error("journal: the folder is not synced: %s", error)
+            self._unsynced = self._doubtful = True
+            return
+        self._unsynced = self._doubtful = False
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 from itertools import islice
 from typing import Any
@@ -256,15 +256,17 @@
             self._crashed(error)
 
     def _carry_out(self, actions: list[api.Action]) -> None:
+        """Journal all that the step decided, then let it out: one sync serves the whole step."""
         sends: dict[str, list[api.Send]] = {}
+        ends: list[Notice] = []
         for action in actions:
             match action:
                 case api.Send():
                     sends.setdefault(action.host, []).append(action)
                 case api.Refuse():
-                    self._give_up(Notice(action.id, "bounced", action.retry_after_us // 1000))
+                    ends += self._given_up(Notice(action.id, "bounced", action.retry_after_us // 1000))
                 case api.Fail():
-                    self._give_up(Notice(action.id, "dead"))
+                    ends += self._given_up(Notice(action.id, "dead"))
                 case api.CloseIdle():
                     self._partners.close_idle(action.host)
                 case api.Cancel():
@@ -282,18 +284,39 @@
                     LOG.info("%s", action.line)
                 case api.Probe():
                     LOG.error("a probe was asked for; endpoints are not probed")
-        for host, batch in sends.items():
-            self._send(host, batch)
+        calls = [call for host, batch in sends.items() for call in self._calls(host, batch)]
+        safe = self._synced() if calls or ends else True
+        for notice in ends:  # out at once, and again until it is confirmed; it is owed whatever the disk says
+            self._ends.send(notice)
+        for call in calls:
+            if safe:
+                self._partners.send(call)
+            else:
+                self._not_made(call)
+
+    def _synced(self) -> bool:
+        """Whether all that was journaled is as safe as the installation wants it."""
+        try:
+            self._journal.sync()
+        except JournalFullError as error:
+            LOG.error("calls were not made: %s", error)
+            return False
+        return True
 
-    def _give_up(self, notice: Notice) -> None:
-        """The module's final answer goes out at once, and again until it is confirmed."""
+    def _given_up(self, notice: Notice) -> list[Notice]:
+        """The module's final answer, journaled; none where the message is over already."""
         if self._held.pop(notice.ref, None) is None:
-            return
+            return []
         self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._remember(notice.ref)
-        self._ends.send(notice)
+        return [notice]
+
+    def _not_made(self, call: Call) -> None:
+        """A call whose attempts could not be journaled is not made."""
+        for part in call.parts:
+            self._settled(call, part, Told(api.Verdict.NOT_SENT))
 
-    def _send(self, host: str, batch: list[api.Send]) -> None:
+    def _calls(self, host: str, batch: list[api.Send]) -> Iterator[Call]:
         """Sends of one step to one host share calls up to the kind's bound, journaled before any byte."""
         rest = iter(batch)
         while chunk := list(islice(rest, self._partners.batch(host))):
@@ -311,10 +334,9 @@
                 self._journal.tries(tries)
             except JournalFullError as error:
                 LOG.error("a call was not made: %s", error)
-                for part in parts:
-                    self._settled(call, part, Told(api.Verdict.NOT_SENT))
+                self._not_made(call)
                 continue
-            self._partners.send(call)
+            yield call
 
     def _can_end(self, send: api.Send) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
--- a/mallowlug/operator/model.py
+++ b/mallowlug/operator/model.py
@@ -40,10 +40,17 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
+class JournalTable(toml_check.Strict):
+    """``[journal]``: what accepted work outlasts beside the process."""
+
+    durable: bool = False
+
+
 class OperatorFile(toml_check.Strict):
     """The whole file; every table may be left out."""
 
     log: LogTable = LogTable()
+    journal: JournalTable = JournalTable()
     front: tuple[FrontTable, ...] = Field(default=(), strict=False)
 
     @field_validator("front")
@@ -61,4 +68,4 @@
     """The file's extras; ``toml_check.FileMistakesError`` (a ``ValueError``) with every mistake."""
     told = toml_check.read(path, OperatorFile)
     fronts = tuple(FrontPlan(front.kind, address_of(front.listen), front.connections) for front in told.front)
-    return Extras(log_level=told.log.level.upper(), fronts=fronts)
+    return Extras(log_level=told.log.level.upper(), fronts=fronts, durable=told.journal.durable)
--- a/mallowlug/rig/sim/disk.py
+++ b/mallowlug/rig/sim/disk.py
@@ -152,13 +152,17 @@
             file.synced = bytes(file.data)
         self._leave(life, how)
 
-    def sync_folder(self) -> None:
-        """The names are safe from it."""
+    def sync_folder(self, _path: Path) -> None:
+        """The names are safe from it; a machine here has one folder."""
         life, how = self._begin("sync_folder")
         if how != "within":
             self._synced, self._changes = dict(self.files), []
         self._leave(life, how)
 
+    def opened_by(self, life: Life) -> int:
+        """How many descriptors a life has."""
+        return sum(entry.owner is life for entry in self._open.values())
+
     def release(self, life: Life) -> None:
         """A life has ended: its descriptors go."""
         self._open = {fd: entry for fd, entry in self._open.items() if entry.owner is not life}
--- a/mallowlug/rig/sim/ground.py
+++ b/mallowlug/rig/sim/ground.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from mallowlug.config import Extras
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.run.play import Options, play
 from mallowlug.rig.run.relays import Relay
@@ -66,7 +67,8 @@
         """A relay on a machine of its own."""
         disk = SimDisk(random.Random(f"disk {name} {self.scenario.seed}"))
         self.writer = writer
-        relay = SimRelay(name, self.kernel, Machine(name, disk), writer, config)
+        extras = Extras(durable=self.scenario.relays.durable)
+        relay = SimRelay(name, self.kernel, Machine(name, disk, extras), writer, config)
         self.relays.append(relay)
         return relay
 
@@ -82,6 +84,8 @@
             await asyncio.sleep(event.len_s)
             machine.disk.full = False
             relay.note("room")
+        elif event.what == "power":
+            relay.cut_power()
         elif event.what == "stall":
             await self._stall(relay, event.len_s)
         else:
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -53,6 +53,7 @@
 
     name: str
     disk: SimDisk
+    extras: config.Extras
     wall_off_ns: int = 0
     boots: int = 1
 
@@ -171,7 +172,7 @@
     async def _main(self, life: SimLife, system: SimSystem) -> None:
         """What ``mallowlug run`` does, and the end of the process behind it."""
         try:
-            code = await serve(config.load(system), system)
+            code = await serve(config.load(system), system, life.machine.extras)
         except config.ConfigError as error:
             logging.getLogger("mallowlug").critical("configuration: %s", error)
             code = 2
@@ -289,3 +290,10 @@
     def lose(self) -> None:
         self.machine.disk.wipe()
         self.machine.boots += 1
+
+    def cut_power(self) -> None:
+        """The machine stops at once and comes back with its disk: what was synced, and perhaps more."""
+        self.note("kill", "power")
+        self.processes[-1].kill()
+        self.machine.disk.crash()
+        self.machine.boots += 1
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -42,6 +42,12 @@
     def unlink(self, path: Path) -> None:
         """Remove a file; one that is not there is no error."""
 
+    def sync(self, fd: int) -> None:
+        """What the file holds is safe from the loss of the machine's power."""
+
+    def sync_folder(self, path: Path) -> None:
+        """The names in a folder are safe from it."""
+
 
 class System(Protocol):
     """All that a relay asks of the machine beside its event loop."""
@@ -86,6 +92,7 @@
     truncate = staticmethod(os.ftruncate)
     close = staticmethod(os.close)
     replace = staticmethod(os.replace)
+    sync = staticmethod(os.fdatasync)
 
     @staticmethod
     def read(path: Path) -> bytes:
@@ -102,6 +109,15 @@
         """Remove a file; one that is not there is no error."""
         path.unlink(missing_ok=True)
 
+    @staticmethod
+    def sync_folder(path: Path) -> None:
+        """The names in a folder are safe from the loss of the machine's power."""
+        fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
 
 class Posix:
     """The machine that the process runs on."""
--- /dev/null
+++ b/tests/test_power.py
@@ -0,0 +1,132 @@
+"""The loss of a machine's power: what a durable journal said must be there when the machine is back."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowlug.core.journal import Attempt, Journal, JournalFullError
+from mallowlug.rig.sim.disk import SimDisk
+from mallowlug.rig.sim.net import failure
+
+FOLDER, BUDGET = Path("/state"), 3_000_000
+
+
+def opened(disk: SimDisk, durable: bool = True) -> Journal:
+    """A life's journal."""
+    return Journal(FOLDER, BUDGET, disk, durable)
+
+
+def accept(journal: Journal, ref: str, size: int = 100) -> None:
+    """Take a message on."""
+    journal.accept(ref, {"id": ref, "dest": 1}, b"x" * size)
+
+
+def failing(disk: SimDisk, name: str, times: int) -> Callable[[], int]:
+    """Let the next so many of these calls fail; how many still will."""
+    real, left = getattr(disk, name), [times]
+
+    def call(*args: object) -> None:
+        if left[0]:
+            left[0] -= 1
+            raise failure(5)
+        real(*args)
+
+    setattr(disk, name, call)
+    return lambda: left[0]
+
+
+@given(st.integers(0, 2**32), st.integers(1, 60), st.integers(0, 4))
+def test_what_was_said_outlasts_any_number_of_losses(seed: int, count: int, losses: int) -> None:
+    """Taken messages, attempts and ends are there, whatever else of the log and its names is not."""
+    rng, disk = random.Random(seed), SimDisk(random.Random(seed))
+    taken: dict[str, int] = {}
+    ended: dict[str, str] = {}
+    for life in range(losses + 1):
+        journal = opened(disk)
+        assert set(taken) - set(ended) <= set(journal.recovered)
+        for ref, tries in taken.items():
+            if ref not in ended:
+                assert len(journal.recovered[ref].attempts) >= tries, "a try that was made is known"
+            elif ref in journal.recovered:
+                assert journal.recovered[ref].notice == (ended[ref], 0), "its end stays the end that was told"
+        for number in range(count):
+            accept(journal, ref := f"{life}-{number}", rng.randint(0, 20_000))
+            taken[ref] = 0
+            for known in rng.sample(sorted(set(taken) - set(ended)), min(2, len(set(taken) - set(ended)))):
+                journal.tries([(known, Attempt(taken[known], "h", "z", 5))])
+                journal.sync()
+                taken[known] += 1
+                if rng.random() < 0.6:
+                    journal.end(known, "dead", 0)
+                    journal.sync()
+                    ended[known] = "dead"
+                    if rng.random() < 0.8:
+                        journal.over(known)
+        disk.crash()
+
+
+def test_a_journal_that_is_not_durable_does_lose_them() -> None:
+    """The checker above can fail."""
+    lost = 0
+    for seed in range(20):
+        disk = SimDisk(random.Random(seed))
+        journal = opened(disk, durable=False)
+        accept(journal, "m1")
+        disk.crash()
+        lost += "m1" not in opened(disk, durable=False).recovered
+    assert lost
+
+
+def test_power_is_lost_between_a_renaming_and_the_sync_of_its_folder() -> None:
+    """Either log may be there; both hold every message that is not over."""
+    for seed in range(20):
+        disk = SimDisk(random.Random(seed))
+        journal = opened(disk)
+        accept(journal, "open")
+        for number in range(60):
+            accept(journal, f"m{number}", 10_000)
+            journal.over(f"m{number}")
+        left = failing(disk, "sync_folder", 1)
+        with pytest.raises(JournalFullError):  # the new log has no lasting name: nothing more is promised
+            for number in range(1000):
+                accept(journal, f"n{number}", 10_000)
+                journal.over(f"n{number}")
+                if not left():
+                    failing(disk, "sync_folder", 1)
+                    accept(journal, "refused")
+        disk.crash()
+        assert "open" in opened(disk).recovered
+
+
+def test_a_failed_sync_refuses_and_the_next_one_writes_the_log_anew() -> None:
+    disk = SimDisk(random.Random(1))
+    journal = opened(disk)
+    accept(journal, "before")
+    failing(disk, "sync", 2)  # the log's, then the new log's
+    with pytest.raises(JournalFullError):
+        accept(journal, "refused")
+    with pytest.raises(JournalFullError):
+        accept(journal, "refused too")
+    accept(journal, "after")
+    disk.crash()
+    assert list(opened(disk).recovered) == ["before", "after"]
+
+
+def test_a_failed_sync_makes_no_call_of_the_step() -> None:
+    """``Journal.sync`` says so, and nothing of what it covered is relied on."""
+    disk = SimDisk(random.Random(2))
+    journal = opened(disk)
+    accept(journal, "m")
+    journal.tries([("m", Attempt(0, "h", "z", 5))])
+    failing(disk, "sync", 1)
+    with pytest.raises(JournalFullError):
+        journal.sync()
+    journal.sync()
+    disk.crash()
+    assert len(opened(disk).recovered["m"].attempts) == 1
