Structured logs: JSON, one event a line, with relay, life and message

Need: logs are text alone; whoever gathers them has to take them apart, and a message's id stands somewhere within a line.

Change: [log] format = "json" renders what the standard library's loggers were told through structlog: timestamp, level, logger, relay, life (the seed of this start), message_id or host where there is one, causes with frames. Only then structlog is imported (tests/test_operator.py).

--- a/mallowlug/cli/run.py
+++ b/mallowlug/cli/run.py
@@ -28,6 +28,10 @@
     try:
         extras = config.NOTHING if operator is None else load(operator)
         cfg = config.load(POSIX)
+        if extras.log_format == "json":
+            from mallowlug.operator import logs  # noqa: PLC0415
+
+            logs.install(cfg.name, f"{cfg.seed:x}")
         gc.freeze()  # modules and settings stay: going through them each time took a quarter of the CPU
         return asyncio.run(serve(cfg, POSIX, extras))
     except config.ConfigError as error:
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -53,6 +53,7 @@
     """What an operator file switches on; as it stands here, nothing."""
 
     log_level: str = "INFO"
+    log_format: str = "text"
     fronts: tuple[FrontPlan, ...] = ()
     durable: bool = False  # the journal outlasts the loss of the machine's power
 
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -249,7 +249,8 @@
         try:
             self._append([])
         except JournalFullError as error:
-            LOG.error("journal: %s of %s not kept yet: %s", head[0], head[1], error)
+            about = "host" if head[0] == "care" else "message_id"
+            LOG.error("journal: %s of %s not kept yet: %s", head[0], head[1], error, extra={about: head[1]})
 
     def _append(self, records: list[tuple[list[Any], bytes]]) -> None:
         new = [raw for _, raw in records]
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -139,7 +139,7 @@
         try:
             self._journal.accept(handed.id, {name: getattr(handed, name) for name in FIELDS}, body)
         except JournalFullError as error:
-            LOG.warning("a message was refused: %s", error)
+            LOG.warning("a message was refused: %s", error, extra={"message_id": handed.id})
             return self.refusal
         self._held[handed.id] = Held(handed, body)
         self._post(self._arrival(handed, self.clock()))
@@ -167,7 +167,9 @@
         try:
             handed = Handed(**message.fields)
         except TypeError as error:
-            LOG.error("journal: message %s cannot be read: %s", message.id, error)
+            LOG.error(
+                "journal: message %s cannot be read: %s", message.id, error, extra={"message_id": message.id}
+            )
             handed = None
         if handed is None or handed.cls not in self._classes:  # another version's or another site's
             self._journal.end(message.id, "dead", 0)
--- a/mallowlug/ends/notices.py
+++ b/mallowlug/ends/notices.py
@@ -74,7 +74,8 @@
                     batch = batch[:1]
                 else:
                     if status == 400:
-                        LOG.error("notice for %s was not understood", batch[0].ref)
+                        ref = batch[0].ref
+                        LOG.error("notice for %s was not understood", ref, extra={"message_id": ref})
                     await asyncio.sleep(again_s)
                     again_s, post_s = min(2 * again_s, AGAIN_S[1]), min(2 * post_s, POST_S[1])
 
--- a/mallowlug/operator/model.py
+++ b/mallowlug/operator/model.py
@@ -38,6 +38,7 @@
     """``[log]``."""
 
     level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["text", "json"] = "text"
 
 
 class JournalTable(toml_check.Strict):
@@ -68,4 +69,9 @@
     """The file's extras; ``toml_check.FileMistakesError`` (a ``ValueError``) with every mistake."""
     told = toml_check.read(path, OperatorFile)
     fronts = tuple(FrontPlan(front.kind, address_of(front.listen), front.connections) for front in told.front)
-    return Extras(log_level=told.log.level.upper(), fronts=fronts, durable=told.journal.durable)
+    return Extras(
+        log_level=told.log.level.upper(),
+        log_format=told.log.format,
+        fronts=fronts,
+        durable=told.journal.durable,
+    )
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -265,12 +265,12 @@
         try:
             keep = await self._exchange(exchange)
         except SpoiltError as error:  # not a reset: the connection held, and the host has answered
-            LOG.debug("hosts: %s: a spoilt answer: %s", host, str(error)[:80])
+            LOG.debug("hosts: %s: a spoilt answer: %s", host, str(error)[:80], extra={"host": host})
             told = Told(Verdict.ERROR)
         except (*FAULTS, TimeoutError) as error:
-            LOG.debug("hosts: %s: %r", host, error)
+            LOG.debug("hosts: %s: %r", host, error, extra={"host": host})
         except Exception:
-            LOG.exception("hosts: call to %s broke", host)
+            LOG.exception("hosts: call to %s broke", host, extra={"host": host})
         finally:
             if not exchange.written:
                 told = Told(Verdict.CONNECT_FAILED)
@@ -329,7 +329,8 @@
         listed = self._listed.get(host)
         if listed is None:
             raise ConnectionError("no longer listed")
-        return await asyncio.wait_for(Connection.open(listed.dial, self._system), self._connect_s)
+        async with asyncio.timeout(self._connect_s):
+            return await Connection.open(listed.dial, self._system)
 
     def _take(self, host: str) -> Connection | None:
         """The idle connection that was used last, if the host has not ended it."""
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import logging
 import signal
 import subprocess
 import sys
@@ -14,7 +16,7 @@
 
 from mallowlug.cli.main import main
 from mallowlug.config import NOTHING, FrontPlan
-from mallowlug.operator import model
+from mallowlug.operator import logs, model
 from mallowlug.toml_check import FileMistakesError, Mistake, line_of, places
 from tests.world import ROOT, Client, World, delivered, soon
 
@@ -122,7 +124,7 @@
     shown = [
         line.removeprefix("# ")
         for line in (ROOT / "deploy" / "operator.toml").read_text(encoding="utf-8").splitlines()
-        if line.startswith(("# [", "# level", "# kind", "# listen", "# connections"))
+        if line.startswith(("# [", "# level", "# kind", "# listen", "# connections", "# format", "# durable"))
     ]
     path = tmp_path / "operator.toml"
     path.write_text("\n".join(shown), encoding="utf-8")
@@ -136,7 +138,8 @@
     loaded = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
     modules = set(loaded.stdout.split())
     assert "mallowlug.compose" in modules
-    absent = {"pydantic", "pydantic_core", "argparse", "tomllib", "mallowlug.operator", "mallowlug.rig"}
+    absent = {"pydantic", "pydantic_core", "structlog", "argparse", "click", "tomllib"}
+    absent |= {"mallowlug.operator", "mallowlug.rig"}
     assert not modules & absent
 
 
@@ -144,7 +147,8 @@
     """Write an operator file with a listener beside the platform's; its address."""
     address = "127.77." + ".".join(world.address.split(".")[2:])
     (world.folder / "operator.toml").write_text(
-        f'[[front]]\nkind = "resp2"\nlisten = "{address}:{world.port}"\nconnections = {connections}\n',
+        f'[[front]]\nkind = "resp2"\nlisten = "{address}:{world.port}"\nconnections = {connections}\n'
+        '[log]\nformat = "json"\n[journal]\ndurable = true\n',
         encoding="utf-8",
     )
     return address, world.port
@@ -167,6 +171,20 @@
     assert await soon(world.process.wait()) == 0
 
 
+def test_an_event_names_its_message_and_the_frames_of_its_cause() -> None:
+    made = logs.formatter("n1", "c0ffee")
+    try:
+        raise ValueError("why")
+    except ValueError:
+        record = logging.LogRecord("mallowlug.x", logging.ERROR, "", 0, "%s broke", ("it",), sys.exc_info())
+    record.message_id, record.secret = "9b1f", "not a field"
+    told = json.loads(made.format(record))
+    assert "\n" not in made.format(record)
+    assert (told["message_id"], told["event"], told["life"]) == ("9b1f", "it broke", "c0ffee")
+    assert told["exception"][0]["exc_value"] == "why"
+    assert "secret" not in told
+
+
 async def test_more_connections_than_there_are_descriptors_for_are_a_mistake(world: World) -> None:
     await second_front(world, world.sockets)
     process = await asyncio.create_subprocess_exec(
@@ -175,7 +193,9 @@
     )  # fmt: skip
     _, told = await soon(process.communicate())
     assert process.returncode == 2
-    assert b"front: at most 256 connections" in told
+    line = json.loads(told)
+    assert (line["relay"], line["life"], line["level"]) == ("n0", "8c1f30d27a5be964", "critical")
+    assert line["event"].startswith("configuration: front: at most 256 connections")
 
 
 async def test_without_the_file_one_listener_is_open_and_no_validation_library(world: World) -> None:
