Hours: memory and descriptors of a relay after each hour of simulated time

Need: a leak of a few objects an hour is seen by no test that lasts a minute.

Change: mallowlug sim hours plays an hour again and again, with a lull at each end, and counts descriptors, tasks and all objects that hang on the composition root, by type; growth since the same life's first hour fails and names the types.

--- a/mallowlug/rig/sim_cli.py
+++ b/mallowlug/rig/sim_cli.py
@@ -14,7 +14,7 @@
 
 from mallowlug.rig import cli as rig
 from mallowlug.rig.judge import record as rec
-from mallowlug.rig.sim import shrink, sweep
+from mallowlug.rig.sim import hours, shrink, sweep
 from mallowlug.rig.sim.faults import swarm
 from mallowlug.rig.sim.ground import simulate
 from mallowlug.rig.world import scenario
@@ -45,12 +45,15 @@
     swept.add_argument("--seeds", type=seeds_of, required=True, help="A-B")
     swept.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
     swept.add_argument("--some-points", action="store_true", help="do not fail for points that none reached")
+    hourly = commands.add_parser("hours", help="memory and descriptors after each of many hours")
+    hourly.add_argument("--hours", type=int, default=3)
+    hourly.add_argument("--out", type=Path, help="folder for record, report and logs; a new one if none")
     small = commands.add_parser("shrink", help="take away all that a failure does not need")
     small.add_argument("--out", type=Path, help="folder for the small scenario, its record and story")
     small.add_argument("--tries", type=int, default=400, help="runs at most")
-    for command in (run, swept, small):
+    for command in (run, swept, hourly, small):
         command.add_argument("scenario", type=Path)
-    for command in (run, small):
+    for command in (run, hourly, small):
         command.add_argument("--seed", type=int, help="in place of the scenario's")
         command.add_argument("--faults", action="store_true", help="with those that a sweep draws")
     return top
@@ -101,6 +104,18 @@
     return int(bool(total.failed or (cover.missed and not args.some_points)))
 
 
+def hourly(args: argparse.Namespace) -> int:
+    """Play hour after hour and say what a relay holds at the end of each."""
+    world = world_of(args)
+    found = hours.played(world, args.hours, rig.fresh(args.out, world.name))
+    for held in found.samples:
+        place = f"hour {held.hour} {held.relay} life {held.life}"
+        print(f"{place}: {held.descriptors} descriptors, {held.tasks} tasks, {held.size} bytes")
+    problems = [*found.problems, *found.done.complaints]
+    print("\n".join(problems) if problems else "all of it came back")
+    return int(bool(problems))
+
+
 def shrunk(args: argparse.Namespace) -> int:
     """Leave a small scenario and a story of what happened; 1 where there is a failure to tell of."""
     world = world_of(args)
@@ -119,7 +134,7 @@
     """Run one command; its exit code."""
     args = parser().parse_args(argv)
     try:
-        return {"run": run, "sweep": swept, "shrink": shrunk}[args.command](args)
-    except (FileMistakesError, rec.RecordError) as error:
+        return {"run": run, "sweep": swept, "hours": hourly, "shrink": shrunk}[args.command](args)
+    except (FileMistakesError, hours.LullError, rec.RecordError) as error:
         print(error, file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/sim/test_hours.py
@@ -0,0 +1,52 @@
+"""A relay comes back to where it was after each hour; what does not is told by its type."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from mallowlug.core import relay
+from mallowlug.rig.sim import hours
+from mallowlug.rig.world.scenario import Scenario
+from mossfront import brain
+
+HOUR = Scenario.model_validate(
+    {
+        "name": "short-hours", "seed": 3, "length_s": 60.0, "load": {"rate_per_s": 15.0},
+        "relays": {"count": 1}, "partners": {"destinations": 3, "endpoints": (1, 2)},
+        "class": [
+            {"name": name, "share": 0.5, "effect": effect, "work_ms": 40.0, "aim_s": 1.0, "deadline_s": 4.0,
+             "window_s": 4.0}
+            for name, effect in (("status", "safe"), ("postings", "keyed"))
+        ],
+        "event": [
+            {"at_s": 3.0, "what": "refuse", "len_s": 2.0, "part": 0.4},
+            {"at_s": 4.0, "what": "replace", "len_s": 2.0, "count": 2},
+            {"at_s": 6.0, "what": "rude", "len_s": 2.0, "count": 9},
+            {"at_s": 8.0, "what": "garble", "len_s": 2.0, "part": 0.3},
+        ],
+    }
+)  # fmt: skip
+
+
+def test_memory_and_descriptors_come_back(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(relay, "REMEMBERED", 50)  # ids of messages that are over: as many after every hour
+    found = hours.played(HOUR, 4, tmp_path, lull_s=45.0)
+    assert found.done.complaints == []
+    assert found.problems == []
+    assert [held.hour for held in found.samples] == [1, 2, 3, 4]
+    assert all(held.size > 10_000 and held.objects["Destination"] == 3 for held in found.samples)
+
+
+def test_a_leak_is_found_by_its_type(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hosts that are gone are never forgotten."""
+    monkeypatch.setattr(brain.Relay, "_forget", lambda self: None)
+    problems = hours.played(HOUR, 4, tmp_path, lull_s=45.0).problems
+    assert problems
+    assert "Tally" in problems[-1]
+
+
+def test_an_hour_without_a_lull_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(hours.LullError, match="replace at"):
+        hours.played(HOUR, 2, tmp_path, lull_s=55.0)
