--- /dev/null
+++ b/mossfront/backlog.py
@@ -0,0 +1,88 @@
+"""What is held, in an order from which the best and the worst are found without looking at the rest.
+
+Messages of one class, worth, number of attempts and bound zone form a lane. In a lane the score is a function
+of the time that is left to the aim alone, and it is known at which times that function may bend (``bends``):
+between two bends it only rises or only falls. So the best and the worst stand beside a bend or at an end, and
+each bend is found by bisection: O(log n), however much is held.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterable, Iterator
+
+from mossfront.interface import Effect, MessageClass
+from mossfront.state import Message
+
+Score = Callable[[Message], float]
+Lanes = dict[tuple[object, ...], "Lane"]
+
+
+def bends(cls: MessageClass, halves: bool, ahead_us: int) -> tuple[int, ...]:
+    """How late (us after the aim; negative: early) a message is where its score may bend.
+
+    The score weighs the worth at a time and ``ahead_us`` later. The worth bends at the aim, at the deadline
+    and, where it halves, where it comes to its least.
+    """
+    found = [0, cls.deadline_us - cls.aim_us]
+    if halves and 0 < cls.late_worth < 1:
+        found.append(int(cls.aim_us * math.log2(1 / cls.late_worth)))
+    return tuple(sorted({late - ahead for late in found for ahead in (0, ahead_us)}))
+
+
+class Lane:
+    """Messages whose score differs by their aim alone, in order of it, then of when they were held."""
+
+    def __init__(self) -> None:
+        self.entries: list[tuple[int, int, Message]] = []
+
+    def add(self, message: Message) -> None:
+        """Take a message in."""
+        insort(self.entries, (message.aim_us, message.serial, message))
+
+    def remove(self, message: Message) -> None:
+        """Let a message go that is in it."""
+        del self.entries[bisect_left(self.entries, (message.aim_us, message.serial))]
+
+    def beside(self, at_us: float, late_us: Iterable[int]) -> Iterator[Message]:
+        """The messages next to each bend at that time, and at both ends; some of them twice."""
+        entries = self.entries
+        if len(entries) <= 8:  # fewer than there would be places
+            yield from (message for *_, message in entries)
+            return
+        yield entries[0][2]
+        yield entries[-1][2]
+        for late in late_us:
+            cut = bisect_left(entries, (at_us - late,))
+            if cut:
+                yield entries[cut - 1][2]
+            if cut < len(entries):
+                yield entries[cut][2]
+
+    def least(self, at_us: float, late_us: Iterable[int], cost: Score) -> tuple[float, int, int, Message]:
+        """Cost, aim, serial and message of the one that costs least, and of equals of the oldest."""
+        found, aim_us = min((cost(m), m.aim_us) for m in self.beside(at_us, late_us))
+        return found, *self.entries[bisect_left(self.entries, (aim_us,))]
+
+
+def bound_zone(message: Message) -> str | None:
+    """Where alone a repeat is dropped, once a try may have run; None where it may go anywhere."""
+    risky = message.risky_us >= 0 and message.cls.effect is Effect.KEYED and message.cls.scope_is_zone
+    return message.risky_zone if risky else None
+
+
+def put(lanes: Lanes, message: Message) -> None:
+    """Hold a message in the lane of its like."""
+    cls, risky = message.cls, message.risky_us >= 0
+    message.lane = (cls.name, message.worth, message.attempts, risky, bound_zone(message))
+    lanes.setdefault(message.lane, Lane()).add(message)
+
+
+def take(lanes: Lanes, message: Message) -> None:
+    """Hold it no more."""
+    lane = lanes[message.lane]
+    lane.remove(message)
+    if not lane.entries:
+        del lanes[message.lane]
+    message.lane = ()
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Iterable
 
+from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
     Action, Arrival, Care, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
     Refuse, Released, Roster, RosterKind, Send, Settings, Subscribe, Verdict, Wake, Withdrawn,
@@ -40,6 +41,7 @@
 NEVER_US = 1 << 62
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
+Front = list[tuple[float, float, int, int, Message, Lane, float]]  # risk, cost, aim, serial, ..., slot_us
 RISKS = {effect: float(order) for order, effect in enumerate(Effect)}  # by what a repeat does
 
 
@@ -50,6 +52,8 @@
         self.set, self.rng, self.now, self.actions = settings, random.Random(seed), 0, list[Action]()
         self.classes = {cls.name: cls for cls in settings.classes}
         self.kinds = {kind.name: kind for kind in settings.kinds}
+        self.bends = {cls.name: bends(cls, settings.halves, URGENCY_US) for cls in settings.classes}
+        self.all_held: Lanes = {}  # over all destinations, by class and worth
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
         self.dests = dict[int, Destination]()
         self.turns = dict[str, list[Message]]()  # by key: messages in order of arrival
@@ -184,13 +188,40 @@
 
     def _hold(self, message: Message) -> None:
         """Keep it for the dispatch, and note when it has to be answered."""
-        self.dests[message.dest].held[message.id], self.look[message.dest] = message, None
+        dest = self.dests[message.dest]
+        dest.held[message.id], self.look[message.dest] = message, None
+        self.serial += 1
+        message.serial = self.serial
+        self.all_held.setdefault((message.cls.name, message.worth), Lane()).add(message)
+        self._enter(dest, message)
+        self._await_end(message)
+
+    def _await_end(self, message: Message) -> None:
+        """Look at a held message again when its time is over."""
         self.serial += 1
         heapq.heappush(self.ends, (self._end_us(message), self.serial, message))
         if len(self.ends) > 2 * len(self.messages) + 64:  # most messages are over long before their time is
             self.ends = [item for item in self.ends if not item[2].done]
             heapq.heapify(self.ends)
 
+    def _enter(self, dest: Destination, message: Message) -> None:
+        """Put a held message where the dispatch finds it, once order by key lets it go."""
+        if self._has_turn(message):
+            dest.resting.pop(message.id, None)
+            put(dest.lanes, message)
+        elif self.turns[message.key][0] is message:
+            dest.resting[message.id] = message
+
+    def _unhold(self, message: Message) -> None:
+        """It is on its way, or over."""
+        dest = self.dests[message.dest]
+        if dest.held.pop(message.id, None) is None:
+            return
+        self.all_held[message.cls.name, message.worth].remove(message)
+        dest.resting.pop(message.id, None)
+        if message.lane:
+            take(dest.lanes, message)
+
     def _end_us(self, message: Message) -> int:
         """When its time or window covers no further call."""
         cls, risky = message.cls, message.risky_us >= 0
@@ -390,13 +421,16 @@
         """The message is over; it stays known while attempts are out."""
         self.open -= not message.done
         message.done = True
-        self.dests[message.dest].held.pop(message.id, None)
+        self._unhold(message)
         if message.out:
             return
         self.messages.pop(message.id, None)
         if queue := self.turns.get(message.key):
             queue.remove(message)
-            self.look.update({other.dest: None for other in queue[:1]})
+            for other in queue[:1]:
+                self.look[other.dest] = None
+                if other.id in self.dests[other.dest].held and not other.lane:
+                    self._enter(self.dests[other.dest], other)
             if not queue:
                 del self.turns[message.key]
         if len(self.rests) > 2 * len(self.turns) + 64:
@@ -415,16 +449,38 @@
             message = heapq.heappop(self.ends)[2]
             # What a call takes may have changed since.
             if not message.done and message.id in self.dests[message.dest].held:
-                (self._hold if self._end_us(message) > self.now else self._give_up)(message)
+                (self._await_end if self._end_us(message) > self.now else self._give_up)(message)
         for dest in [self.dests[number] for number in self.look]:
             start = min((e.limit.wait_us for e in dest.ready()), default=0)
             if start > self.now:  # told to wait past the message's time: answer now
-                for message in [m for m in dest.held.values() if self._end_us(m) <= start]:
+                for message in self._ending(dest, start):
                     self._give_up(message)
-        if (over := self.open - max(1, self.set.hold_cap - 1)) > 0:
-            held = [m for m in self.messages.values() if not m.done and not m.out]
-            for message in sorted(held, key=self._score)[:over]:
-                self._give_up(message)
+        for _ in range(self.open - max(1, self.set.hold_cap - 1)):
+            if worst := self._worst():
+                self._give_up(worst)
+
+    def _worst(self) -> Message | None:
+        """The least worthy of all that is held."""
+        lanes = [lane for lane in self.all_held.values() if lane.entries]
+        return min(lane.least(*self._when(lane), self._score) for lane in lanes)[-1] if lanes else None
+
+    def _ending(self, dest: Destination, start_us: int) -> list[Message]:
+        """What is held there and whose time is over by then; of a lane that never ran the oldest go first."""
+        apart = [m for m in dest.held.values() if not m.lane] if self.turns else []  # without a turn
+        found = [m for m in apart if self._end_us(m) <= start_us]
+        for lane in dest.lanes.values():
+            risky = lane.entries[0][2].risky_us >= 0
+            for _, _, message in lane.entries:
+                if self._end_us(message) <= start_us:
+                    found.append(message)
+                elif not risky:  # the others have more time
+                    break
+        return sorted(found, key=lambda m: (m.aim_us, m.serial))
+
+    def _when(self, lane: Lane) -> tuple[float, tuple[int, ...]]:
+        """When a lane's messages would be delivered if sent now, and where their score may bend."""
+        message = lane.entries[0][2]
+        return self.now + self._record(message).mean_us, self.bends[message.cls.name]
 
     def _worth(self, message: Message, at_us: float) -> float:
         """What the message earns if delivered at that time."""
@@ -442,13 +498,16 @@
 
     def _dispatch(self) -> None:
         """One pass over what is held at the destinations to look at, best first."""
-        ready: list[tuple[float, float, int, Message]] = []
+        front: Front = []
         short, looked = self.calls_out >= SICK_SHARE * self.set.slots, list(self.look)
         for dest in [self.dests[number] for number in looked]:
-            if dest.held and (rooms := [e for e in dest.ready() if self._room(dest, e)]):
+            for message in list(dest.resting.values()):
+                self._enter(dest, message)
+            if dest.lanes and (rooms := [e for e in dest.ready() if self._room(dest, e)]):
                 ill = any(g.strikes for e in dest.endpoints.values() for g in e.guards)
                 slots_us = dict[str, float]()  # by class: alike for all that are held here
-                for message in filter(self._has_turn, dest.held.values()):
+                for lane in dest.lanes.values():
+                    message = lane.entries[0][2]
                     # Trials of what fails cost least with what may be repeated, and take turns. With slots
                     # short, worth counts by time in a slot, or crawling destinations take them all.
                     turn = message.attempts / self.set.max_attempts
@@ -456,26 +515,41 @@
                     if (slot_us := slots_us.get(message.cls.name)) is None:
                         slot_us = min(self._record(message, e).mean_us for e in rooms) if short else 1.0
                         slots_us[message.cls.name] = slot_us
-                    ready.append((risk, -self._score(message) / slot_us, len(ready), message))
+                    self._offer(front, lane, risk, slot_us)
         opened: dict[str, Call] = {}
-        for *_, message in sorted(ready, key=lambda item: item[:3]):
-            dest = self.dests[message.dest]
-            bound = message.cls.effect is Effect.KEYED and message.risky_us >= 0 and message.cls.scope_is_zone
-            spots = [e for e in dest.ready() if not bound or e.zone == message.risky_zone]
-            shared = [e for e in spots if e.host in opened and opened[e.host].messages < e.kind.batch]
-            if rooms := shared or [e for e in spots if self._room(dest, e)]:
-                self._send(message, min(rooms, key=lambda e: self._cost(message, e)), opened)
+        while front:
+            risk, _, _, _, message, lane, slot_us = heapq.heappop(front)
+            if spots := self._spots(message, opened):  # else there is none for any other of its lane
+                self._send(message, min(spots, key=lambda e: self._cost(message, e)), opened)
+                if lane.entries:
+                    self._offer(front, lane, risk, slot_us)
+        self._due_again(looked)
+
+    def _due_again(self, looked: list[int]) -> None:
+        """When to look at these destinations again, where something is held."""
         if self.calls_out < self.set.slots:  # else what is held waits for a slot and is looked at again
             self.look = {}
         for number in looked:
             if (dest := self.dests[number]).held:
                 times = [max(g.clear_us for g in e.guards) for e in dest.ready()]
-                times += [self.rests.get(m.key, 0) for m in dest.held.values() if m.key]
+                times += [self.rests.get(m.key, 0) for m in dest.resting.values()]
                 later = min((at_us for at_us in times if at_us > self.now), default=0)
                 if later and not self.now < dest.due_us <= later:  # one that is noted brings us here again
                     dest.due_us = later
                     heapq.heappush(self.due, (later, number))
 
+    def _offer(self, front: Front, lane: Lane, risk: float, slot_us: float) -> None:
+        """A lane's best message, before all that are worse."""
+        cost, aim_us, serial, message = lane.least(*self._when(lane), lambda m: -self._score(m))
+        heapq.heappush(front, (risk, cost / slot_us, aim_us, serial, message, lane, slot_us))
+
+    def _spots(self, message: Message, opened: dict[str, Call]) -> list[Endpoint]:
+        """Endpoints that take the message now: in a call of this pass, else in one more."""
+        dest, zone = self.dests[message.dest], bound_zone(message)
+        spots = [e for e in dest.ready() if zone is None or e.zone == zone]
+        shared = [e for e in spots if e.host in opened and opened[e.host].messages < e.kind.batch]
+        return shared or [e for e in spots if self._room(dest, e)]
+
     def _has_turn(self, message: Message) -> bool:
         """Whether order by key lets the message go now; the one that has the turn may be repeated at once."""
         first = not message.key or self.turns[message.key][0] is message
@@ -520,7 +594,7 @@
             for guard in (g for g in endpoint.guards if g.cold_us >= 0):
                 lone_us = max(0, guard.spaced_us - self.now) / (1 + FURTHER * (call.messages - 1))
                 guard.spaced_us += int(FURTHER * lone_us)
+        self._unhold(message)  # before its tries and what they may have done say another lane
         call.messages, call.open = call.messages + 1, call.open + 1
         message.out[message.attempts], message.attempts = call, message.attempts + 1
-        del self.dests[message.dest].held[message.id]
         self.actions.append(Send(message.id, endpoint.host, max(1, limit_us)))
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 from mossfront.interface import Arrival, Entry, Kind, Listing, MessageClass
 
+if TYPE_CHECKING:
+    from mossfront.backlog import Lane
+
 
 class Tally:
     """Events and how many of them count; they fade over ``memory_us`` and, by ``keep``, with each event."""
@@ -98,6 +102,8 @@
         self.aim_us = self.deadline_us - cls.deadline_us + cls.aim_us
         self.out: dict[int, Call] = {}
         self.attempts, self.timeouts, self.done = event.attempts, 0, False
+        self.serial = 0  # when it was held last
+        self.lane: tuple[object, ...] = ()  # where it is held, if it may go
         self.risky_us, self.risky_zone = -1, ""  # first attempt that may have run: when sent, and its zone
         if event.risky_age_us >= 0:  # made in a former life of this relay
             self.risky_us, self.risky_zone = max(0, now_us - event.risky_age_us), event.risky_zone
@@ -110,6 +116,8 @@
         self.limit = limit
         self.endpoints: dict[str, Endpoint] = {}
         self.held: dict[str, Message] = {}
+        self.lanes: dict[tuple[object, ...], Lane] = {}  # those of them that may go
+        self.resting: dict[str, Message] = {}  # those whose turn it is and whose key rests
         self.due_us = 0  # when it is noted to be looked at again
 
     def ready(self) -> list[Endpoint]:
