Command line over click: help by group, completion, rooms imported when asked for

Need: the rig and the simulation were words that the top parser passed on unseen, so help and completion ended there.

Change: groups and options are click's, shared by rig and sim; a room without its libraries says what to install (exit code 2), as does any usage mistake; mallowlug completion prints what a shell needs. An hour without room for its lull is refused.

--- a/mallowlug/cli/main.py
+++ b/mallowlug/cli/main.py
@@ -1,61 +1,114 @@
-"""``mallowlug COMMAND``: what people call by hand. The platform's ``run`` line names no command."""
+"""``mallowlug COMMAND``: what people call by hand. The platform's ``run`` line names no command.
+
+Exit codes: 0 well, 1 not as wanted, 2 not usable (also a command line that is not), 3 unknown.
+"""
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Sequence
 from importlib import import_module
 from pathlib import Path
 
+import click
+import click.shell_completion
+
+FILE = click.Path(path_type=Path)
+ROOMS = {"rig": "mallowlug.rig.cli", "sim": "mallowlug.rig.sim_cli"}  # groups with libraries of their own
+
+
+class Rooms(click.Group):
+    """A group whose rooms are imported when asked for, so that the others do without their libraries."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """All names, in order."""
+        return sorted([*super().list_commands(ctx), *ROOMS])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """A command; one whose libraries are not installed says so when it is called."""
+        if name not in ROOMS:
+            return super().get_command(ctx, name)
+        try:
+            found = import_module(ROOMS[name]).group
+        except ModuleNotFoundError as error:
+            if error.name is None or error.name.partition(".")[0] == "mallowlug":
+                raise
+            return missing(name, error.name)
+        assert isinstance(found, click.Group)
+        return found
+
+
+def missing(name: str, library: str) -> click.Command:
+    """What stands for a room whose extra is not installed."""
+    told = f"mallowlug {name} needs {library}: pip install 'mallowlug[rig]'"
+
+    @click.command(
+        name,
+        short_help=f"(needs {library}: pip install 'mallowlug[rig]')",
+        add_help_option=False,
+        context_settings={"ignore_unknown_options": True},
+    )
+    @click.argument("words", nargs=-1, type=click.UNPROCESSED)
+    def stands_for(words: tuple[str, ...]) -> int:
+        click.echo(told, err=True)
+        return 2
+
+    return stands_for
+
 
-def check(path: Path) -> int:
-    """Say what is wrong with an operator file; 0 where nothing is, 2 else."""
+@click.group(cls=Rooms, no_args_is_help=False)
+@click.version_option(package_name="mallowlug")
+def top() -> None:
+    """A relay for parking-payment messages: one final answer for each, by six rules."""
+
+
+@top.command("check")
+@click.argument("file", type=FILE)
+def check(file: Path) -> int:
+    """Name every mistake in an operator FILE."""
     from mallowlug.operator import model  # noqa: PLC0415
 
     try:
-        extras = model.load(path)
+        extras = model.load(file)
     except ValueError as error:
-        print(error, file=sys.stderr)
+        click.echo(str(error), err=True)
         return 2
-    print(f"{path}: in order; fronts beside the platform's: {len(extras.fronts)}")
+    click.echo(f"{file}: in order; fronts beside the platform's: {len(extras.fronts)}")
     return 0
 
 
-def rig(command: str, *words: str) -> int:
-    """The rig's commands; 2, with what to install, where an installation came without their libraries."""
-    try:
-        cli = import_module("mallowlug.rig.sim_cli" if command == "sim" else "mallowlug.rig.cli")
-    except ModuleNotFoundError as error:
-        if error.name is None or error.name.partition(".")[0] == "mallowlug":
-            raise
-        print(f"mallowlug {command} needs {error.name}: pip install 'mallowlug[rig]'", file=sys.stderr)
-        return 2
-    code: int = cli.main(words)
-    return code
+@top.command("run")
+@click.option("--operator", type=FILE, help="The operator file; without one nothing is switched on.")
+def serve(operator: Path | None) -> int:
+    """Serve in the foreground, as `python -m mallowlug` does."""
+    from mallowlug.cli.run import run  # noqa: PLC0415
+
+    return run(operator)
 
 
-def parser() -> argparse.ArgumentParser:
-    """The commands and their arguments; the rig's are its own."""
-    top = argparse.ArgumentParser(prog="mallowlug", description="A relay for parking-payment messages.")
-    commands = top.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("run", help="serve in the foreground, as `python -m mallowlug` does")
-    run.add_argument("--operator", type=Path, help="the operator file; without one nothing is switched on")
-    checked = commands.add_parser("check", help="name every mistake in an operator file")
-    checked.add_argument("file", type=Path)
-    commands.add_parser("rig", help="a world of stand-ins on loopback, and the judge of the six rules")
-    commands.add_parser("sim", help="the same world in simulated time, with faults drawn from seeds")
-    return top
+@top.command("completion")
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> int:
+    """Print what lets a SHELL complete commands and options; put it into the shell's start file."""
+    found = click.shell_completion.get_completion_class(shell)
+    assert found is not None
+    click.echo(found(top, {}, "mallowlug", "_MALLOWLUG_COMPLETE").source())
+    return 0
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run one command; its exit code: 0 well, 1 not as wanted, 2 not usable."""
-    words = list(sys.argv[1:] if argv is None else argv)
-    if words[:1] in (["rig"], ["sim"]):
-        return rig(*words)
-    told = parser().parse_args(words)
-    if told.command == "check":
-        return check(told.file)
-    from mallowlug.cli.run import run  # noqa: PLC0415
+def called(command: click.Command, argv: Sequence[str] | None, name: str) -> int:
+    """Run a command line; its exit code. What cannot be used is told on standard error, with 2."""
+    try:
+        words = list(sys.argv[1:] if argv is None else argv)
+        code: int | None = command.main(words, prog_name=name, standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 1
+    return code or 0
+
 
-    return run(told.operator)
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command; its exit code."""
+    return called(top, argv, "mallowlug")
--- a/mallowlug/rig/cli.py
+++ b/mallowlug/rig/cli.py
@@ -1,19 +1,16 @@
-"""``mallowlug rig``: play a scenario, replay a record's traffic, check a record, report on it.
-
-Exit codes: 0 all rules kept, 1 a rule broken (or a relay crashed), 2 a file that cannot be read or used, 3
-unknown: the record is truncated or a message could not be judged.
-"""
+"""``mallowlug rig``: play a scenario, replay a record's traffic, check a record, report on it."""
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
-import sys
+import functools
 import tempfile
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, ParamSpec
+
+import click
 
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.judge.rules import Verdict, judge
@@ -23,35 +20,11 @@
 from mallowlug.rig.world import replay, scenario
 from mallowlug.toml_check import FileMistakesError
 
+P = ParamSpec("P")
 CODES = {"kept": 0, "broken": 1, "unknown": 3}
 SHOWN = 20  # breaches that are printed
 
 
-def parser() -> argparse.ArgumentParser:
-    """The rig's commands."""
-    top = argparse.ArgumentParser(prog="mallowlug rig", description="Stand-ins on loopback, and a judge.")
-    commands = top.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("run", help="play a scenario and judge it")
-    run.add_argument("scenario", type=Path)
-    again = commands.add_parser("replay", help="play a record's traffic again, in its own world or another")
-    again.add_argument("record", type=Path)
-    again.add_argument("--scenario", type=Path, help="the world, where it is not the record's own")
-    for command in (run, again):
-        command.add_argument("--out", type=Path, help="folder for record, report and logs; a new one if none")
-        command.add_argument("--live", action="store_true", help="show the run while it goes on")
-        command.add_argument("--seed", type=int, help="in place of the scenario's")
-        command.add_argument("--relays", type=int, help="in place of the scenario's")
-    check = commands.add_parser("check", help="judge a record; of a scenario, name its mistakes")
-    check.add_argument("file", type=Path)
-    report = commands.add_parser("report", help="write a record's report as one HTML file")
-    report.add_argument("record", type=Path)
-    report.add_argument("--out", type=Path)
-    traffic = commands.add_parser("traffic", help="keep of a record what clients wanted, to replay it")
-    traffic.add_argument("record", type=Path)
-    traffic.add_argument("--out", type=Path, required=True)
-    return top
-
-
 def told(verdict: Verdict, record: rec.Record) -> int:
     """Print a verdict; the exit code."""
     service = service_of(record)
@@ -114,11 +87,33 @@
     return code
 
 
-def played(world: scenario.Scenario, options: Options, args: argparse.Namespace) -> int:
+def usable(command: Callable[P, int]) -> Callable[P, int]:
+    """A command whose files may be unusable: each mistake is told, and its exit code is 2."""
+
+    @functools.wraps(command)
+    def careful(*args: P.args, **kwargs: P.kwargs) -> int:
+        try:
+            return command(*args, **kwargs)
+        except (FileMistakesError, rec.RecordError) as error:
+            click.echo(str(error), err=True)
+            return 2
+
+    return careful
+
+
+def played(
+    world: scenario.Scenario,
+    options: Options,
+    *,
+    out: Path | None,
+    live: bool,
+    seed: int | None,
+    relays: int | None,
+) -> int:
     """Play, judge and report."""
-    world = varied(world, args.seed, args.relays)
-    folder = fresh(args.out, world.name)
-    with shown(args.live) as watch:
+    world = varied(world, seed, relays)
+    folder = fresh(out, world.name)
+    with shown(live) as watch:
         options.watch = watch
         done: Done = asyncio.run(play(world, folder, options))
     code = reported(done.path, folder / "report.html")
@@ -130,32 +125,85 @@
     return code or int(bool(done.crashed or done.bad_calls))
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run one command; its exit code."""
-    args = parser().parse_args(argv)
-    try:
-        if args.command == "run":
-            return played(scenario.load_real(args.scenario), Options(), args)
-        if args.command == "check" and args.file.suffix == ".toml":
-            found = scenario.load(args.file)
-            print(f"{args.file}: in order; {found.length_s} s, {len(found.events)} events")
-            return 0
-        record = rec.read(args.file if args.command == "check" else args.record)
-        if args.command == "check":
-            return told(judge(record), record)
-        if args.command == "traffic":
-            rec.save(replay.traffic_only(record), args.out)
-            print(args.out)
-            return 0
-        if args.command == "report":
-            from mallowlug.rig.report import page as report  # noqa: PLC0415
-
-            path = args.out or args.record.with_suffix(".html")
-            report.write(record, path)
-            print(path)
-            return 0
-        world = scenario.load_real(args.scenario) if args.scenario else replay.scenario_of(record)
-        return played(world, Options(traffic=replay.traffic_of(record)), args)
-    except (FileMistakesError, rec.RecordError) as error:
-        print(error, file=sys.stderr)
-        return 2
+FILE = click.Path(path_type=Path)
+out_option = click.option("--out", type=FILE, help="Folder for record, report and logs; a new one if none.")
+seed_option = click.option("--seed", type=click.IntRange(min=0), help="In place of the scenario's.")
+relays_option = click.option("--relays", type=click.IntRange(1, 64), help="In place of the scenario's.")
+live_option = click.option("--live", is_flag=True, help="Show the run while it goes on.")
+
+
+@click.group("rig")
+def group() -> None:
+    """A world of stand-ins on loopback around real relays, and a judge of the six rules.
+
+    Exit codes: 0 all rules kept, 1 a rule broken (or a relay crashed), 2 a file that cannot be read or used,
+    3 unknown: the record is truncated or a message could not be judged.
+    """
+
+
+@group.command("run")
+@click.argument("file", metavar="SCENARIO", type=FILE)
+@out_option
+@live_option
+@seed_option
+@relays_option
+@usable
+def run(file: Path, *, out: Path | None, live: bool, seed: int | None, relays: int | None) -> int:
+    """Play a scenario and judge it."""
+    return played(scenario.load_real(file), Options(), out=out, live=live, seed=seed, relays=relays)
+
+
+@group.command("replay")
+@click.argument("record", type=FILE)
+@click.option("--scenario", "file", type=FILE, help="The world, where it is not the record's own.")
+@out_option
+@live_option
+@seed_option
+@relays_option
+@usable
+def again(
+    record: Path, file: Path | None, *, out: Path | None, live: bool, seed: int | None, relays: int | None
+) -> int:
+    """Play a record's traffic again, in its own world or another."""
+    found = rec.read(record)
+    world = scenario.load_real(file) if file else replay.scenario_of(found)
+    options = Options(traffic=replay.traffic_of(found))
+    return played(world, options, out=out, live=live, seed=seed, relays=relays)
+
+
+@group.command("check")
+@click.argument("file", type=FILE)
+@usable
+def check(file: Path) -> int:
+    """Judge a record; of a scenario (.toml), name its mistakes."""
+    if file.suffix == ".toml":
+        found = scenario.load(file)
+        print(f"{file}: in order; {found.length_s} s, {len(found.events)} events")
+        return 0
+    record = rec.read(file)
+    return told(judge(record), record)
+
+
+@group.command("report")
+@click.argument("record", type=FILE)
+@click.option("--out", type=FILE, help="The page; beside the record if none.")
+@usable
+def report(record: Path, out: Path | None) -> int:
+    """Write a record's report as one HTML file."""
+    from mallowlug.rig.report import page  # noqa: PLC0415
+
+    path = out or record.with_suffix(".html")
+    page.write(rec.read(record), path)
+    print(path)
+    return 0
+
+
+@group.command("traffic")
+@click.argument("record", type=FILE)
+@click.option("--out", type=FILE, required=True)
+@usable
+def traffic(record: Path, out: Path) -> int:
+    """Keep of a record what clients wanted, to replay it."""
+    rec.save(replay.traffic_only(rec.read(record)), out)
+    print(out)
+    return 0
--- a/mallowlug/rig/sim/hours.py
+++ b/mallowlug/rig/sim/hours.py
@@ -134,6 +134,8 @@
     ``LullError`` where the scenario leaves no room for its lull.
     """
     hour_s, samples = scenario.length_s, list[Sample]()
+    if hour_s <= lull_s:
+        raise LullError(f"{hour_s:g} s leave no room for a lull of {lull_s:g} s")
     if late := [event for event in scenario.events if event.at_s + event.len_s > hour_s - lull_s]:
         raise LullError(f"{late[0].what} at {late[0].at_s} s is not over {lull_s:g} s before the hour's end")
     long = repeated(scenario, hours)
--- a/mallowlug/rig/sim_cli.py
+++ b/mallowlug/rig/sim_cli.py
@@ -1,75 +1,70 @@
-"""``mallowlug sim``: play a scenario in simulated time, sweep seeds, make a failure small.
-
-Exit codes: 0 all rules kept and every point reached; 1 a failure; 2 a file that cannot be read or used.
-"""
+"""``mallowlug sim``: play a scenario in simulated time, sweep seeds, make a failure small."""
 
 from __future__ import annotations
 
-import argparse
 import os
-import sys
 import time
-from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
+
+import click
 
 from mallowlug.rig import cli as rig
-from mallowlug.rig.judge import record as rec
 from mallowlug.rig.sim import hours, shrink, sweep
 from mallowlug.rig.sim.faults import swarm
 from mallowlug.rig.sim.ground import simulate
 from mallowlug.rig.world import scenario
-from mallowlug.toml_check import FileMistakesError
 
 SHOWN = 3  # breaches of a seed that a sweep prints
 
 
-def seeds_of(text: str) -> range:
+class Seeds(click.ParamType[range]):
     """``A-B`` or one number."""
-    low, sign, high = text.partition("-")
-    if not low.isdecimal() or (sign and not high.isdecimal()):
-        raise argparse.ArgumentTypeError(f"not A-B: {text!r}")
-    found = range(int(low), int(high or low) + 1)
-    if not found:
-        raise argparse.ArgumentTypeError(f"no seed in {text!r}")
-    return found
-
-
-def parser() -> argparse.ArgumentParser:
-    """The simulation's commands."""
-    top = argparse.ArgumentParser(prog="mallowlug sim", description="Whole relays in simulated time.")
-    commands = top.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("run", help="play a scenario and judge it")
-    run.add_argument("--out", type=Path, help="folder for record, report and logs; a new one if none")
-    run.add_argument("--relays", type=int, help="in place of the scenario's")
-    swept = commands.add_parser("sweep", help="play many seeds, each with faults of its own")
-    swept.add_argument("--seeds", type=seeds_of, required=True, help="A-B")
-    swept.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
-    swept.add_argument("--some-points", action="store_true", help="do not fail for points that none reached")
-    hourly = commands.add_parser("hours", help="memory and descriptors after each of many hours")
-    hourly.add_argument("--hours", type=int, default=3)
-    hourly.add_argument("--out", type=Path, help="folder for record, report and logs; a new one if none")
-    small = commands.add_parser("shrink", help="take away all that a failure does not need")
-    small.add_argument("--out", type=Path, help="folder for the small scenario, its record and story")
-    small.add_argument("--tries", type=int, default=400, help="runs at most")
-    for command in (run, swept, hourly, small):
-        command.add_argument("scenario", type=Path)
-    for command in (run, hourly, small):
-        command.add_argument("--seed", type=int, help="in place of the scenario's")
-        command.add_argument("--faults", action="store_true", help="with those that a sweep draws")
-    return top
-
-
-def world_of(args: argparse.Namespace) -> scenario.Scenario:
+
+    name = "A-B"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> range:
+        """The seeds; a usage error where there is none."""
+        if isinstance(value, range):
+            return value
+        low, sign, high = value.partition("-")
+        if not low.isdecimal() or (sign and not high.isdecimal()):
+            self.fail(f"not A-B: {value!r}", param, ctx)
+        found = range(int(low), int(high or low) + 1)
+        if not found:
+            self.fail(f"no seed in {value!r}", param, ctx)
+        return found
+
+
+def world_of(file: Path, seed: int | None, faults: bool) -> scenario.Scenario:
     """The scenario that is asked for."""
-    world = scenario.load(args.scenario)
-    world = rig.varied(world, args.seed, None)
-    return swarm(world, world.seed) if args.faults else world
+    world = rig.varied(scenario.load(file), seed, None)
+    return swarm(world, world.seed) if faults else world
+
+
+scenario_argument = click.argument("file", metavar="SCENARIO", type=rig.FILE)
+faults_option = click.option("--faults", is_flag=True, help="With those that a sweep draws.")
 
 
-def run(args: argparse.Namespace) -> int:
+@click.group("sim")
+def group() -> None:
+    """The same world and the same relays in simulated time, with faults drawn from seeds.
+
+    Exit codes: 0 all rules kept and every point reached; 1 a failure; 2 a file that cannot be read or used.
+    """
+
+
+@group.command("run")
+@scenario_argument
+@rig.out_option
+@rig.seed_option
+@rig.relays_option
+@faults_option
+@rig.usable
+def run(file: Path, out: Path | None, seed: int | None, relays: int | None, faults: bool) -> int:
     """Play, judge and report, as ``rig run`` does."""
-    world = rig.varied(world_of(args), None, args.relays)
-    folder = rig.fresh(args.out, world.name)
+    world = rig.varied(world_of(file, seed, faults), None, relays)
+    folder = rig.fresh(out, world.name)
     start_s = time.perf_counter()
     done = simulate(world, folder)
     took_s = time.perf_counter() - start_s
@@ -82,17 +77,23 @@
     return code or int(bool(done.complaints))
 
 
-def swept(args: argparse.Namespace) -> int:
+@group.command("sweep")
+@scenario_argument
+@click.option("--seeds", type=Seeds(), required=True, help="A-B, or one.")
+@click.option("--jobs", type=click.IntRange(1), default=os.cpu_count() or 1, help="Processes side by side.")
+@click.option("--some-points", is_flag=True, help="Do not fail for points that none reached.")
+@rig.usable
+def swept(file: Path, seeds: range, jobs: int, some_points: bool) -> int:
     """Play every seed; each failure with the command that plays it again."""
-    world, total, start_s = scenario.load(args.scenario), sweep.Sum(), time.perf_counter()
+    world, total, start_s = scenario.load(file), sweep.Sum(), time.perf_counter()
 
     def told(result: sweep.Result) -> None:
         print(f"seed {result.seed}: {result.state}, {len(result.breaches)} breaches")
         for line in [*result.breaches[:SHOWN], *result.complaints[:SHOWN]]:
             print(f"    {line}")
-        print(f"    mallowlug sim run {args.scenario} --seed {result.seed} --faults", flush=True)
+        print(f"    mallowlug sim run {file} --seed {result.seed} --faults", flush=True)
 
-    total.add(sweep.results(world, args.seeds, args.jobs), told)
+    total.add(sweep.results(world, seeds, jobs), told)
     took_s, cover = time.perf_counter() - start_s, total.coverage
     length = f"{total.messages} messages, {total.length_s:.0f} s simulated in {took_s:.0f} s"
     print(f"{total.seeds} seeds, {length}: {len(total.failed)} failed")
@@ -101,13 +102,23 @@
     print(", ".join(f"{point} {count}" for point, count in sorted(cover.points.items())))
     if cover.missed:
         print(f"not reached: {', '.join(cover.missed)}")
-    return int(bool(total.failed or (cover.missed and not args.some_points)))
+    return int(bool(total.failed or (cover.missed and not some_points)))
 
 
-def hourly(args: argparse.Namespace) -> int:
+@group.command("hours")
+@scenario_argument
+@click.option("--hours", "count", type=click.IntRange(1), default=3, show_default=True)
+@rig.out_option
+@rig.seed_option
+@faults_option
+@rig.usable
+def hourly(file: Path, count: int, out: Path | None, seed: int | None, faults: bool) -> int:
     """Play hour after hour and say what a relay holds at the end of each."""
-    world = world_of(args)
-    found = hours.played(world, args.hours, rig.fresh(args.out, world.name))
+    world = world_of(file, seed, faults)
+    try:
+        found = hours.played(world, count, rig.fresh(out, world.name))
+    except hours.LullError as error:
+        raise click.UsageError(str(error)) from None
     for held in found.samples:
         place = f"hour {held.hour} {held.relay} life {held.life}"
         print(f"{place}: {held.descriptors} descriptors, {held.tasks} tasks, {held.size} bytes")
@@ -116,11 +127,18 @@
     return int(bool(problems))
 
 
-def shrunk(args: argparse.Namespace) -> int:
+@group.command("shrink")
+@scenario_argument
+@click.option("--tries", type=click.IntRange(1), default=400, show_default=True, help="Runs at most.")
+@click.option("--out", type=rig.FILE, help="Folder for the small scenario, its record and story.")
+@rig.seed_option
+@faults_option
+@rig.usable
+def shrunk(file: Path, tries: int, out: Path | None, seed: int | None, faults: bool) -> int:
     """Leave a small scenario and a story of what happened; 1 where there is a failure to tell of."""
-    world = world_of(args)
-    folder = rig.fresh(args.out, f"{world.name}-small")
-    found = shrink.shrink(world, args.tries, lambda line: print(line, flush=True))
+    world = world_of(file, seed, faults)
+    folder = rig.fresh(out, f"{world.name}-small")
+    found = shrink.shrink(world, tries, lambda line: print(line, flush=True))
     if found is None:
         print("nothing is wrong with it")
         return 0
@@ -128,13 +146,3 @@
     print(f"\n{path}\n")
     print("\n".join(found.story))
     return 1
-
-
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run one command; its exit code."""
-    args = parser().parse_args(argv)
-    try:
-        return {"run": run, "sweep": swept, "hours": hourly, "shrink": shrunk}[args.command](args)
-    except (FileMistakesError, hours.LullError, rec.RecordError) as error:
-        print(error, file=sys.stderr)
-        return 2
