--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -118,8 +118,8 @@
     assert list(opened(disk).recovered) == ["before", "after"]
 
 
-def test_a_failed_sync_makes_no_call_of_the_step() -> None:
-    """``Journal.sync`` says so, and nothing of what it covered is relied on."""
+def test_a_failed_sync_says_so_and_the_next_one_makes_its_records_safe() -> None:
+    """``Journal.sync`` raises for what it covered; that record is in the log that is written anew."""
     disk = SimDisk(random.Random(2))
     journal = opened(disk)
     accept(journal, "m")
