Tell no refusal that a full disk did not keep; try again what it did not take

Now such an end is told as "dead" unless the class is safe to repeat. Now clock and notes are tried again every 0.1 s, and a try from the future is as old as can be. The judge now grants 0.25 s, which the retry needs. A call held up by a link for five seconds was answered when its message had long been delivered elsewhere, and a call written before a kill arrived after it: nobody read those waits. A wait of a call with one message that was not over still binds (a doctored record shows it).

--- a/mallowlug/core/clock.py
+++ b/mallowlug/core/clock.py
@@ -21,21 +21,26 @@
 class Clock:
     """Microseconds since the epoch, in step with the loop's time."""
 
-    def __init__(self, offset_us: int, monotonic_s: Callable[[], float]) -> None:
-        self._offset_us, self._monotonic_s = offset_us, monotonic_s
+    def __init__(self, offset_us: int, monotonic_s: Callable[[], float], keep: Callable[[], bool]) -> None:
+        self._offset_us, self._monotonic_s, self._keep = offset_us, monotonic_s, keep
+        self.kept = keep()  # for the lives to come
 
     def __call__(self) -> int:
         """Microseconds since the epoch."""
         return int(self._monotonic_s() * 1e6) + self._offset_us
 
+    def settle(self) -> None:
+        """Try again to keep it, where the disk did not take it."""
+        self.kept = self.kept or self._keep()
+
 
 def clock_of(system: System, folder: Path, monotonic_s: Callable[[], float]) -> Clock:
     """The clock of the lives before this one, else one that is set by the wall and kept for those to come."""
     boot, path = system.boot(), folder / FILE
-    if (offset_us := kept(system, path, boot)) is None:
-        offset_us = system.wall_ns() // 1000 - int(monotonic_s() * 1e6)
-        keep(system, path, f"{boot} {offset_us}\n")
-    return Clock(offset_us, monotonic_s)
+    if (offset_us := kept(system, path, boot)) is not None:
+        return Clock(offset_us, monotonic_s, lambda: True)
+    found_us = system.wall_ns() // 1000 - int(monotonic_s() * 1e6)
+    return Clock(found_us, monotonic_s, lambda: keep(system, path, f"{boot} {found_us}\n"))
 
 
 def kept(system: System, path: Path, boot: str) -> int | None:
@@ -47,9 +52,11 @@
         return None
 
 
-def keep(system: System, path: Path, line: str) -> None:
-    """Keep it; where that cannot be, the next life goes by the wall clock."""
+def keep(system: System, path: Path, line: str) -> bool:
+    """Keep it; where that cannot be, a next life would go by the wall clock."""
     try:
-        save(system.disk, path, line.encode("ascii"))
+        whole = save(system.disk, path, line.encode("ascii"))
     except OSError as error:
         LOG.error("clock: not kept for the next life: %s", error)
+        return False
+    return whole
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -220,9 +220,9 @@
         """An attempt is proved not to have run."""
         self._note(["not", ref, number])
 
-    def end(self, ref: str, result: str, wait_ms: int) -> None:
-        """The message is given up; its notice is owed until ``over``."""
-        self._note(["end", ref, result, wait_ms])
+    def end(self, ref: str, result: str, wait_ms: int) -> bool:
+        """The message is given up; its notice is owed until ``over``. False: a later life may not know."""
+        return self._note(["end", ref, result, wait_ms])
 
     def over(self, ref: str) -> None:
         """Nothing more is owed."""
@@ -238,7 +238,17 @@
             del self.cares[host]
             self._live_bytes -= len(self._cares.pop(host))
 
-    def _note(self, head: list[Any]) -> None:
+    @property
+    def owes(self) -> bool:
+        """Whether there are notes that the disk did not take yet."""
+        return bool(self._owed)
+
+    def settle(self) -> None:
+        """Try again to write down what is owed; ``JournalFullError`` where the disk still takes nothing."""
+        if self._owed:
+            self._append([])
+
+    def _note(self, head: list[Any]) -> bool:
         """A record that must not stop the relay: where the disk does not take it, it goes with the next one.
 
         Without it, a restart would give a message an end once more.
@@ -248,9 +258,11 @@
         self._owed.append(raw)
         try:
             self._append([])
+            return True
         except JournalFullError as error:
             about = "host" if head[0] == "care" else "message_id"
             LOG.error("journal: %s of %s not kept yet: %s", head[0], head[1], error, extra={about: head[1]})
+            return False
 
     def _append(self, records: list[tuple[list[Any], bytes]]) -> None:
         new = [raw for _, raw in records]
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -34,7 +34,9 @@
 from mossfront import interface as api
 
 LOG = logging.getLogger(__name__)
+OWED_S = 0.1  # s between attempts to write down what the disk did not take
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
+UNKNOWN_US = 1 << 60  # us: an attempt so old that no window covers it
 FIELDS = [field.name for field in fields(Handed)]
 
 
@@ -75,6 +77,7 @@
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
+        self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
         self._dests: set[int] = set()  # destinations that the list has named
         self._known = known
 
@@ -92,6 +95,7 @@
         for host, until_us in self._journal.cares.items():
             self._inbox.append(api.Care(host, until_us - now_us))
         self._step()
+        self._settle()
 
     def move(self, discovery: Address) -> None:
         """The platform is to be found at another address from now on."""
@@ -104,7 +108,7 @@
 
     def close(self) -> None:
         """Let go of everything."""
-        for timer in (self._timer, self._wake):
+        for timer in (self._timer, self._wake, self._chore):
             if timer is not None:
                 timer.cancel()
         self._directory.close()
@@ -180,7 +184,9 @@
         former: dict[str, Any] = {"attempts": attempts}
         if risky := [a for a in message.attempts if not a.never_ran]:
             first = min(risky, key=lambda attempt: attempt.at_us)
-            former |= {"risky_age_us": max(0, now_us - first.at_us), "risky_zone": first.zone}
+            # One from the future: the clock was set back between two lives, and nobody knows how old it is.
+            age_us = now_us - first.at_us if first.at_us <= now_us else UNKNOWN_US
+            former |= {"risky_age_us": age_us, "risky_zone": first.zone}
         self._inbox.append(self._arrival(handed, now_us, **former))
 
     def _listed(self, news: HostList, kind: api.RosterKind | None = None) -> None:
@@ -195,6 +201,7 @@
 
     def _confirmed(self, ref: str) -> None:
         self._journal.over(ref)
+        self._tend()
 
     def _settled(self, call: Call, part: Part, told: Told) -> None:
         """An attempt is over: journal what it proves, then tell the module."""
@@ -253,6 +260,7 @@
         events, self._inbox = self._inbox, []
         try:
             self._carry_out(self._module.step(self.clock(), events))
+            self._tend()
         except Exception as error:
             LOG.critical("the step loop broke", exc_info=True)
             self._crashed(error)
@@ -260,7 +268,7 @@
     def _carry_out(self, actions: list[api.Action]) -> None:
         """Journal all that the step decided, then let it out: one sync serves the whole step."""
         sends: dict[str, list[api.Send]] = {}
-        ends: list[Notice] = []
+        ends: list[tuple[Notice, bool]] = []  # with whether a later life knows of it
         for action in actions:
             match action:
                 case api.Send():
@@ -288,14 +296,28 @@
                     LOG.error("a probe was asked for; endpoints are not probed")
         calls = [call for host, batch in sends.items() for call in self._calls(host, batch)]
         safe = self._synced() if calls or ends else True
-        for notice in ends:  # out at once, and again until it is confirmed; it is owed whatever the disk says
-            self._ends.send(notice)
+        for notice, kept in ends:  # out at once, and again until it is confirmed, whatever the disk says
+            self._ends.send(notice if kept and safe else Notice(notice.ref, "dead"))
         for call in calls:
             if safe:
                 self._partners.send(call)
             else:
                 self._not_made(call)
 
+    def _settle(self) -> None:
+        """Write down what is owed to the disk until it is taken: there may be no next record to bring it."""
+        self._chore = None
+        self.clock.settle()
+        try:
+            self._journal.settle()
+        except JournalFullError as error:
+            LOG.debug("journal: still owed: %s", error)
+        self._tend()
+
+    def _tend(self) -> None:
+        if self._chore is None and (self._journal.owes or not self.clock.kept):
+            self._chore = asyncio.get_running_loop().call_later(OWED_S, self._settle)
+
     def _synced(self) -> bool:
         """Whether all that was journaled is as safe as the installation wants it."""
         try:
@@ -305,13 +327,17 @@
             return False
         return True
 
-    def _given_up(self, notice: Notice) -> list[Notice]:
-        """The module's final answer, journaled; none where the message is over already."""
-        if self._held.pop(notice.ref, None) is None:
+    def _given_up(self, notice: Notice) -> list[tuple[Notice, bool]]:
+        """The module's final answer, journaled; none where the message is over already.
+
+        Where the disk does not take it, a later life may try the message, beside the retry that a refusal
+        invites: then only a failure is told, which promises nothing. What may be repeated is safe from that.
+        """
+        if (held := self._held.pop(notice.ref, None)) is None:
             return []
-        self._journal.end(notice.ref, notice.result, notice.wait_ms)
+        kept = self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._remember(notice.ref)
-        return [notice]
+        return [(notice, kept or self._classes[held.handed.cls].effect is api.Effect.SAFE)]
 
     def _not_made(self, call: Call) -> None:
         """A call whose attempts could not be journaled is not made."""
--- a/mallowlug/rig/judge/life.py
+++ b/mallowlug/rig/judge/life.py
@@ -119,7 +119,6 @@
     relays: dict[str, str] = {}
     calls: dict[int, list[str]] = {}
     wiped: dict[str, None] = {}
-    full: dict[str, None] = {}
     problems = list[str]()
 
     def take(at_us: int, ref: str, step: Step) -> None:
@@ -152,12 +151,10 @@
                     take(event.at, ref, "failed")
             case rec.Notice():
                 take(event.at, event.id, event.result)
-            case rec.Process() if event.what in ("full", "room"):
-                full.update({event.relay: None}) if event.what == "full" else full.pop(event.relay, None)
             case rec.Process() if event.what in ("exit", "wiped"):
                 for ref in [ref for ref, relay in relays.items() if relay == event.relay]:
                     take(event.at, ref, "dies")
-                    if event.what == "wiped" or event.relay in full:
+                    if event.what == "wiped" or books.owing(event.relay, event.at):
                         wiped[ref] = None
                 for call in [call for call, refs in calls.items() if relays.get(refs[0]) == event.relay]:
                     del calls[call]
--- a/mallowlug/rig/judge/rules.py
+++ b/mallowlug/rig/judge/rules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 
 RULES = ("lost", "twice", "drains", "returns", "order", "waits")
 LATE_US = 150_000  # how late the rig may run and still be believed about times
+OWED_US = 250_000  # how long after a disk has room again a relay may owe it what it did not take
 SEEN_US = 250_000  # how late the rig may see that a process has ended by itself
 NEVER = frozenset(("refused", "over", "unsent"))  # ends that prove that an attempt did not run
 
@@ -102,7 +104,7 @@
         self.away: dict[str, list[list[int]]] = defaultdict(list)  # by relay: from its end to ready again
         self.ends: dict[str, list[int]] = defaultdict(list)  # by relay: when an end of it was seen
         self.cut_off: dict[str, list[list[int]]] = defaultdict(list)  # by relay: out of the platform's reach
-        self.full: dict[str, int] = {}  # by relay: since when its disk takes nothing
+        self.full: dict[str, tuple[int, float]] = {}  # by relay: from when to when its disk took nothing last
         self.deaf: dict[str, list[list[int]]] = defaultdict(list)  # by relay: stands still, or cut off
         # By link: since when (us) how late (us; -1: nothing passes).
         self.links: dict[str, list[tuple[int, int]]] = defaultdict(list)
@@ -123,6 +125,10 @@
         """Whether a life of the relay ended between two times."""
         return any(start_us <= seen <= end_us for seen in self.ends[relay])
 
+    def owing(self, relay: str, at_us: int) -> bool:
+        """Whether what its disk did not take may still be missing there: it is full, or was so just now."""
+        return relay in self.full and at_us < self.full[relay][1] + OWED_US
+
     def decided(self, message: Message) -> int:
         """When its end may have been decided: before a time in which no notice could pass; -1 for no end."""
         at_us, relay = message.end_us, message.ask.relay
@@ -219,12 +225,12 @@
     def _process(self, event: rec.Process) -> None:
         windows = self.away[event.relay]
         if event.what == "full":
-            self.full[event.relay] = event.at
-        elif event.what == "room":
-            self.full.pop(event.relay, None)
-        elif event.what == "exit" and event.relay in self.full:
+            self.full[event.relay] = event.at, math.inf
+        elif event.what == "room" and event.relay in self.full:
+            self.full[event.relay] = self.full[event.relay][0], event.at
+        elif event.what == "exit" and self.owing(event.relay, event.at):
             # What ended since could not be written down, so the next life can't know of it.
-            since_us = self.full[event.relay]
+            since_us = self.full[event.relay][0]
             for message in self.messages.values():
                 message.wiped |= message.ask.relay == event.relay and message.end_us >= since_us
         if event.what == "deaf":
@@ -587,7 +593,8 @@
     """Told to wait, a relay sends nothing to that route until the wait is over, for any message.
 
     A wait runs from when its answer was written; what comes within 100 ms of that is let through, and a
-    restart ends it, also one between the call and its answer, which nobody read then.
+    restart ends it, also one between the call and its answer, which nobody read then. Nobody reads the
+    answer to a call either whose messages were all over before: it came late, on a connection that was left.
     """
 
     name = "waits"
@@ -599,13 +606,19 @@
     def see(self, event: rec.AnyEvent) -> None:
         if isinstance(event, rec.Answer) and event.wait_us > 0 and not event.spoilt:
             call = self.books.call_of.get(event.call)
-            if call is not None and call.host in self.books.hosts:
+            if call is not None and call.host in self.books.hosts and not self._left(call, event.at):
                 route = self.books.route(call.host)
-                until_us, sent_us = event.at + event.wait_us, call.began - self.books.figures.slack_us
-                self._waits[self.books.relay_of(call), route].append((event.at, until_us, sent_us))
+                sent_us = self.books.sent(call) - self.books.figures.slack_us
+                told = event.at, event.at + event.wait_us, sent_us
+                self._waits[self.books.relay_of(call), route].append(told)
         elif isinstance(event, rec.Call) and event.host in self.books.hosts:
             self._call(event)
 
+    def _left(self, call: rec.Call, at_us: int) -> bool:
+        """Whether the relay must have left a call before its answer was written."""
+        ends = [m.end_us for ref in call.ids if (m := self.books.messages.get(ref)) is not None]
+        return bool(ends) and all(0 <= end_us < at_us - self.books.figures.slack_us for end_us in ends)
+
     def _call(self, call: rec.Call) -> None:
         relay, route = self.books.relay_of(call), self.books.route(call.host)
         for told_us, until_us, sent_us in self._waits[relay, route]:
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -78,11 +78,13 @@
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
-def save(disk: Disk, path: Path, data: bytes) -> None:
-    """Write a small file anew; ``OSError`` where that cannot be."""
+def save(disk: Disk, path: Path, data: bytes) -> bool:
+    """Write a small file anew; False where a part of it is missing, ``OSError`` where that cannot be."""
     fd = disk.open(path, APPEND | FRESH)
-    disk.write(fd, data)
-    disk.close(fd)
+    try:
+        return disk.write(fd, data) == len(data)
+    finally:
+        disk.close(fd)
 
 
 class PosixDisk:
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -123,11 +123,21 @@
         .ask(0, "m").ask(0, "o").call(5, "m", end="refused", wait=1000).call(900, "o").call(1200, "m"),
         "another endpoint of a joint route": lambda: Story()
         .ask(0, "m", dest=2).call(5, "m", host="j1", end="refused", wait=1000).call(500, "m", host="j2"),
+        "a wait told on a call of which one message was not over": lambda: Story()
+        .ask(0, "m").ask(0, "o").call(5, "m", "o", end="refused", took=900, wait=1000).call(7, "m", took=20)
+        .call(1200, "o"),
         "a wait on an answer that delivers": lambda: Story()
         .ask(0, "m").ask(0, "o").call(5, "m", wait=1000).call(500, "o"),
     },
 }  # fmt: skip
 KEPT: dict[str, Callable[[], Story]] = {
+    "a wait told on a call that was left before": lambda: Story()
+    .ask(0, "m").ask(0, "o").call(5, "m", end="refused", took=900, wait=1000).call(7, "m", took=20)
+    .call(1200, "o"),
+    "a wait told behind a restart": lambda: Story()
+    .add(rec.Link(0, "hosts", 80 * MS)).ask(0, "m").ask(0, "o").call(160, "m", end="refused", wait=1000)
+    .add(rec.Process(90 * MS, "n0", "kill"), rec.Process(91 * MS, "n0", "exit"))
+    .add(rec.Process(300 * MS, "n0", "ready")).call(600, "o").notice(700, "m"),
     "a notice just in time": lambda: Story().ask(0, "m").notice(12_340, "m"),
     "a repeated notice": lambda: Story().ask(0, "m").notice(100, "m").notice(300, "m"),
     "not taken on": lambda: Story().ask(0, "m", said="refused").ask(5, "o", said="silent"),
--- a/tests/sim/worlds.py
+++ b/tests/sim/worlds.py
@@ -9,6 +9,7 @@
 
 from pytest import MonkeyPatch
 
+from mallowlug.core.clock import Clock
 from mallowlug.core.journal import Journal
 from mallowlug.core.relay import Driver
 from mallowlug.directory import discovery
@@ -144,6 +145,19 @@
     monkey.setattr("mallowlug.core.clock.kept", lambda system, path, boot: None)
 
 
+def clock_tried_once(monkey: MonkeyPatch) -> None:
+    """A clock that the disk did not take is not written again, and an attempt from the future is new."""
+    monkey.setattr(Clock, "settle", lambda self: None)
+    monkey.setattr("mallowlug.core.relay.UNKNOWN_US", 0)
+
+
+def refused_unkept(monkey: MonkeyPatch) -> None:
+    """A refusal is told also where its end is not on the disk."""
+    real = Journal.end
+    monkey.setattr(Journal, "end", lambda *args: bool(real(*args)) or True)
+    monkey.setattr("mallowlug.core.relay.Driver._synced", lambda self: True)
+
+
 def sync_left_out(monkey: MonkeyPatch) -> None:
     """A durable journal that is not synced before it is relied on."""
     monkey.setattr(Journal, "sync", lambda self: None)
@@ -168,6 +182,7 @@
     for patch in (
         lost_ends, all_never_ran, drains_unread, all_have_turns, waits_unread, tried_after_the_bytes,
         torn_tail_by_one, newest_not_compacted, attempts_forgotten, window_forgotten, wake_lost,
-        wall_believed, unsent_means_unrun, sync_left_out, named_before_it_is_safe,
+        wall_believed, clock_tried_once, refused_unkept, unsent_means_unrun, sync_left_out,
+        named_before_it_is_safe,
     )
 }  # fmt: skip
