--- /dev/null
+++ b/bench/process.py
@@ -0,0 +1,141 @@
+"""A process under test on one core, and what it used."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+ROOT = Path(__file__).resolve().parent.parent
+READY_S = 60.0
+PING = b"*1\r\n$4\r\nPING\r\n"
+TIMES = {"aim_us": 30_000_000, "deadline_us": 60_000_000, "worth": 1.0, "late_worth": 0.5, "stream": False}
+
+
+def settings(slots: int, held: int) -> dict[str, Any]:
+    """What the relay is told: one keyed class, wide limits."""
+    return {
+        "allowed": {"cancel": True, "connect_timeout_us": 1_000_000, "keepalive_us": 60_000_000,
+                    "max_retry_after_us": 2_000_000, "may_duplicate": True, "most_tries": 6, "open_cap": held,
+                    "probes": False, "retry_after": True},
+        "discovery": "ask",
+        "domain": {"batch_by_kind": [1], "calls_out": slots, "decay": "line", "kind_apart": [True],
+                   "toll": [0, 0]},
+        "group_size": 1, "machine_types": ["lots"], "over_share_worth": 0.1, "round_us": 5000,
+        "weights": "off", "zones": ["z0", "z1"],
+        "request_classes": [{"name": "keyed", "effect": "keyed", "key_scope": "all",
+                             "dedup_window_us": 60_000_000, **TIMES}],
+        "rules": {"ask_within_us": 10_000_000, "cold_from": 0.3, "drain_grace_us": 500_000,
+                  "fall_multiple": 1.5, "fall_us": 3_000_000, "grace_to_answer_us": 20_000,
+                  "warm_within_us": 10_000_000},
+        "accounts": [{"name": "acme", "quota_per_s": 1000.0, "share": 1.0}],
+    }  # fmt: skip
+
+
+def free_port() -> int:
+    """A port for a process that binds it by itself."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Used:
+    """What a span took: CPU seconds of the process, and what it held at the end (kB, anonymous memory)."""
+
+    cpu_s: float = 0.0
+    memory_kb: int = 0
+
+
+class Process:
+    """A running process under test."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int, log: Path) -> None:
+        self.port, self.log, self._process = port, log, process
+        self._ps = psutil.Process(process.pid)
+        self.start_s = 0.0  # from its start until it answered
+        self.start_cpu_s = 0.0
+
+    @property
+    def cpu_s(self) -> float:
+        """CPU seconds so far."""
+        times = self._ps.cpu_times()
+        return float(times.user + times.system)
+
+    @property
+    def memory_kb(self) -> int:
+        """Its own memory (USS) now."""
+        return int(self._ps.memory_full_info().uss // 1024)
+
+    @contextmanager
+    def used(self) -> Iterator[Used]:
+        """What it uses within the block."""
+        found, before_s = Used(), self.cpu_s
+        yield found
+        found.cpu_s, found.memory_kb = self.cpu_s - before_s, self.memory_kb
+
+    async def ready(self) -> None:
+        """Wait until it answers; ``RuntimeError`` where it ends or hangs."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while loop.time() < began_s + READY_S and self._process.returncode is None:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(PING)
+                async with asyncio.timeout(READY_S):
+                    if await reader.readline() == b"+PONG\r\n":
+                        self.start_s, self.start_cpu_s = loop.time() - began_s, self.cpu_s
+                        writer.close()
+                        return
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.005)
+        raise RuntimeError(f"it did not come up; see {self.log}")
+
+    async def end(self, kill: bool = False) -> None:
+        """End it."""
+        if self._process.returncode is None:
+            (self._process.kill if kill else self._process.terminate)()
+        await self._process.wait()
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, port: int, command: list[str], environ: dict[str, str] | None = None
+) -> AsyncIterator[Process]:
+    """A process on the last core, from its start to its end."""
+    core = max(os.sched_getaffinity(0))
+    with (folder / "log").open("ab") as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *command, cwd=ROOT, env=os.environ | (environ or {}), stdout=log, stderr=log
+        )
+    found = Process(process, port, folder / "log")
+    psutil.Process(process.pid).cpu_affinity([core])
+    try:
+        await found.ready()
+        yield found
+    finally:
+        await found.end(kill=True)
+
+
+def relay_config(
+    folder: Path, known: dict[str, Any], discovery: int, slots: int, held: int
+) -> tuple[int, dict[str, str]]:
+    """The relay's file and folder; its port and its environment."""
+    port, state = free_port(), folder / "state"
+    state.mkdir(parents=True, exist_ok=True)
+    told = {
+        "name": "bench", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 1024, "disk_mb": 400}, "known": known,
+        "settings": settings(slots, held),
+    }  # fmt: skip
+    (folder / "config.json").write_text(json.dumps(told), encoding="utf-8")
+    return port, {"ROUTER_CONFIG": str(folder / "config.json"), "ROUTER_STATE": str(state)}
--- /dev/null
+++ b/bench/standins.py
@@ -0,0 +1,179 @@
+"""The world of a benchmark: a sink for calls, a directory with churn, clients that pipeline; all lean.
+
+They share nothing with the relay, and they judge nothing: what a rule says is the rig's and the simulation's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Any
+
+HEAD, SIZE = b"\r\n\r\n", b"content-length:"
+OK = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
+NO_CONTENT = b"HTTP/1.1 204 X\r\n\r\n"
+Asked = Callable[["Peer", bytes, bytes], None]
+
+
+class Peer(asyncio.Protocol):
+    """One connection of a server: cuts requests out of the stream."""
+
+    def __init__(self, asked: Asked) -> None:
+        self._asked, self._buffer = asked, bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        while (end := self._buffer.find(HEAD)) >= 0:
+            head = bytes(self._buffer[:end])
+            at = head.lower().find(SIZE)
+            size = int(head[at + len(SIZE) :].split(b"\r\n", 1)[0]) if at >= 0 else 0
+            if len(self._buffer) < end + 4 + size:
+                return
+            body = bytes(self._buffer[end + 4 : end + 4 + size])
+            del self._buffer[: end + 4 + size]
+            self._asked(self, head, body)
+
+
+async def serve(asked: Asked) -> tuple[asyncio.Server, int]:
+    """A server on a port of its own."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: Peer(asked), "127.0.0.1", 0, backlog=1024)
+    return server, server.sockets[0].getsockname()[1]
+
+
+class Sink:
+    """Takes every call, answers after a work time, and counts."""
+
+    def __init__(self, work_s: float) -> None:
+        self.work_s, self.delivered = work_s, 0
+        self._reached: tuple[int, asyncio.Event] = (1 << 60, asyncio.Event())
+
+    def asked(self, peer: Peer, head: bytes, body: bytes) -> None:
+        """One call."""
+        if self.work_s:
+            asyncio.get_running_loop().call_later(self.work_s, self._answer, peer)
+        else:
+            self._answer(peer)
+
+    def _answer(self, peer: Peer) -> None:
+        if not peer.transport.is_closing():
+            peer.transport.write(OK)
+            self.delivered += 1
+            if self.delivered >= self._reached[0]:
+                self._reached[1].set()
+
+    async def until(self, count: int, within_s: float) -> bool:
+        """Wait until so many were delivered; False where that did not come in time."""
+        self._reached = (count, asyncio.Event())
+        if self.delivered >= count:
+            return True
+        try:
+            async with asyncio.timeout(within_s):
+                await self._reached[1].wait()
+        except TimeoutError:
+            return False
+        return True
+
+
+class Directory:
+    """The list of endpoints, told whole to each watch, then by changes; notices are counted."""
+
+    def __init__(self, destinations: int, endpoints: int, dial: str) -> None:
+        self.seq, self.notices = 1, 0
+        self._watches: list[Peer] = []
+        self.hosts: list[dict[str, Any]] = [
+            {"host": f"h{d}-{e}", "dial": dial, "site": f"z{e}", "class": "lots", "block": d,
+             "health": "SERVING", "share": 1.0, "born_ms": 0}
+            for d in range(destinations) for e in range(endpoints)
+        ]  # fmt: skip
+
+    def whole(self) -> dict[str, Any]:
+        """The list as it stands."""
+        return {"seq": self.seq, "whole": True, "hosts": self.hosts}
+
+    def asked(self, peer: Peer, head: bytes, body: bytes) -> None:
+        """A watch, or notices."""
+        if head.startswith(b"POST"):
+            self.notices += body.count(b"\n") + (not body.endswith(b"\n"))
+            peer.transport.write(NO_CONTENT)
+            return
+        peer.transport.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._watches.append(peer)
+        self._tell(peer, {"seq": self.seq, "whole": False, "hosts": []})
+
+    @staticmethod
+    def _tell(peer: Peer, news: dict[str, Any]) -> None:
+        data = json.dumps(news).encode() + b"\n"
+        if not peer.transport.is_closing():
+            peer.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def beat(self) -> None:
+        """An empty line, so that the watch is not taken for broken."""
+        for peer in self._watches:
+            if not peer.transport.is_closing():
+                peer.transport.write(b"1\r\n\n\r\n")
+
+    def churn(self, number: int) -> None:
+        """One endpoint is replaced by another under a new id: two changes."""
+        at = number % len(self.hosts)
+        former, self.seq = self.hosts[at], self.seq + 1
+        self.hosts[at] = new = former | {"host": f"{former['host'].partition('+')[0]}+{number}"}
+        news = {"seq": self.seq, "whole": False, "hosts": [former | {"health": "DELETED"}, new]}
+        for peer in self._watches:
+            self._tell(peer, news)
+
+
+class Client(asyncio.Protocol):
+    """One pipelining client: it counts answers and times each from its request's last byte."""
+
+    def __init__(self) -> None:
+        self._buffer, self._out = bytearray(), deque[float]()
+        self.taken, self.refused, self.took_s = 0, 0, list[float]()
+        self.answered = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._buffer += data
+        *lines, rest = bytes(self._buffer).split(b"\r\n")
+        self._buffer = bytearray(rest)
+        for line in lines:
+            self.took_s.append(now_s - self._out.popleft())
+            self.taken += line.startswith(b"+OK")
+            self.refused += not line.startswith(b"+OK")
+        self.answered.set()
+
+    def hand_in(self, data: bytes) -> None:
+        """One request."""
+        self._out.append(asyncio.get_running_loop().time())
+        self._transport.write(data)
+
+    async def fewer_out(self, most: int) -> None:
+        """Wait until so few of its requests have no answer."""
+        while len(self._out) > most:
+            self.answered.clear()
+            await self.answered.wait()
+
+    def close(self) -> None:
+        """Leave."""
+        self._transport.close()
+
+
+def requests(prefix: str, destinations: int, size: int, deadline_ms: int) -> Iterator[bytes]:
+    """ENQUEUE requests without end, over all destinations in turn."""
+    number, body = 0, b"b" * size
+    while True:
+        ref = prefix.encode() + b"%0*x" % (16 - len(prefix), number)
+        names = f"c=keyed,t=acme,d={deadline_ms},k={number:016x},dest={number % destinations}".encode()
+        parts = (b"ENQUEUE", b"0" * 16, ref, names, body)
+        yield b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+        number += 1
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import struct
 import zlib
@@ -17,6 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from mallowlug.system import APPEND, FRESH, Disk
 
 LOG = logging.getLogger(__name__)
@@ -56,7 +57,7 @@
 
 def framed(head: list[Any], body: bytes = b"") -> bytes:
     """One record's bytes."""
-    payload = json.dumps(head, separators=(",", ":")).encode() + b"\n" + body
+    payload = msgspec.json.encode(head) + b"\n" + body
     return FRAME.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
 
@@ -130,10 +131,10 @@
             end = after
             try:
                 line, _, body = payload.partition(b"\n")
-                head = json.loads(line)
+                head = msgspec.json.decode(line)
                 self._recover(head, body)
                 self._keep(head, raw)
-            except (ValueError, TypeError, KeyError, IndexError) as error:
+            except (ValueError, TypeError, KeyError, IndexError, msgspec.MsgspecError) as error:
                 LOG.error("journal: unreadable record before %d left out: %r", after, error)
         if end < len(data):
             LOG.warning("journal: torn tail of %d bytes cut off", len(data) - end)
--- a/mallowlug/directory/discovery.py
+++ b/mallowlug/directory/discovery.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import h11
-
 from mallowlug.core.model import Address, HostList, Listed
 from mallowlug.net.http import FAULTS, Connection
 from mallowlug.system import System
@@ -113,9 +111,8 @@
                 target = f"{HOSTS}?watch=1&from={self._seq}"
                 await connection.send(connection.request("GET", target, []))
                 answer = await connection.answer()
-            connection.stream()
-            if answer.status_code != 200:
-                raise ConnectionError(f"status {answer.status_code}")
+            if answer.status != 200:
+                raise ConnectionError(f"status {answer.status}")
             await self._lines(connection)
         except (*FAULTS, TimeoutError, ValueError) as error:
             LOG.info("discovery: watch at %s:%d ended: %r", *address, error)
@@ -134,14 +131,12 @@
         while True:
             try:
                 async with asyncio.timeout(quiet_s):
-                    event = await connection.event()
+                    data = await connection.part()
             except TimeoutError:
                 if connection.quiet():
                     raise
                 continue  # this process stood still, not the other side: what it said meanwhile is here
-            if not isinstance(event, h11.Data):
-                raise ConnectionResetError("the watch was ended")
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
+            *lines, rest = (rest + data).split(b"\n")
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without end")
             for line in lines:
--- a/mallowlug/ends/notices.py
+++ b/mallowlug/ends/notices.py
@@ -96,7 +96,7 @@
                     connection = await Connection.open(self._address, self._system)
                 body = b"".join(line_of(notice) for notice in batch)
                 await connection.send(connection.request("POST", NOTICES, [], body))
-                status = (await connection.answer()).status_code
+                status = (await connection.answer()).status
                 await connection.body(MOST_LINE)
             if connection.reusable():
                 return connection, status
--- a/mallowlug/fronts/resp2.py
+++ b/mallowlug/fronts/resp2.py
@@ -86,7 +86,7 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer, self._at = bytearray(), 0  # what has come, and how much of it is read
         self._strings: list[bytes] = []
         self._missing, self._size, self._total = 0, -1, 0  # strings to come; length of the next; sum so far
 
@@ -97,40 +97,41 @@
     @property
     def begun(self) -> bool:
         """Whether a part of a request has come."""
-        return bool(self._buffer) or self._missing > 0
+        return len(self._buffer) > self._at or self._missing > 0
 
     def next(self) -> list[bytes] | None:
         """The next whole request; None where more has to come."""
+        buffer = self._buffer
         while True:
             if self._missing and self._size >= 0:
-                if len(self._buffer) < self._size + 2:
+                end = self._at + self._size
+                if len(buffer) < end + 2:
                     return None
-                if self._buffer[self._size : self._size + 2] != b"\r\n":
+                if buffer[end : end + 2] != b"\r\n":
                     raise FrameError("a string is longer than its length")
-                self._strings.append(bytes(self._buffer[: self._size]))
-                del self._buffer[: self._size + 2]
-                self._missing, self._size = self._missing - 1, -1
+                self._strings.append(bytes(buffer[self._at : end]))
+                self._at, self._missing, self._size = end + 2, self._missing - 1, -1
                 if not self._missing:
-                    request, self._strings, self._total = self._strings, [], 0
+                    del buffer[: self._at]  # once for a request, not for each of its parts
+                    request, self._strings, self._total, self._at = self._strings, [], 0, 0
                     return request
             elif not self._count():
                 return None
 
     def _count(self) -> bool:
         """Read how many strings come, or how long the next one is; False where that is not there yet."""
-        sign = b"$" if self._missing else b"*"
-        if self._buffer and not self._buffer.startswith(sign):
+        sign, buffer, at = b"$" if self._missing else b"*", self._buffer, self._at
+        if len(buffer) > at and not buffer.startswith(sign, at):
             raise FrameError(f"expected '{sign.decode()}'")
-        end = self._buffer.find(b"\r\n", 0, MOST_COUNT)
+        end = buffer.find(b"\r\n", at, at + MOST_COUNT)
         if end < 0:
-            if len(self._buffer) >= MOST_COUNT:
+            if len(buffer) - at >= MOST_COUNT:
                 raise FrameError("a count without end")
             return False
-        line = bytes(self._buffer[:end])
+        line = bytes(buffer[at:end])
         if not COUNT.fullmatch(line):
             raise FrameError("not a count")
-        del self._buffer[: end + 2]
-        number = int(line[1:])
+        self._at, number = end + 2, int(line[1:])
         if self._missing:
             self._size, self._total = number, self._total + number
         else:
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -13,11 +13,10 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-import h11
-
 from mallowlug.core.model import Call, HostList, Listed, Part, Told
 from mallowlug.core.ports import Released, Settled
-from mallowlug.net.http import FAULTS, Connection, Headers, SpoiltError
+from mallowlug.net.answers import Answer, SpoiltError
+from mallowlug.net.http import FAULTS, Connection, Headers
 from mallowlug.system import System
 from mossfront.interface import Kind, Listing, Verdict
 
@@ -69,7 +68,7 @@
     return connection.request("POST", MANY, [left], b"".join(frames))
 
 
-def wait_of(answer: h11.Response) -> int:
+def wait_of(answer: Answer) -> int:
     """The longest wait that an answer tells, in microseconds; 0 for none."""
     wait_us = 0
     for name, value in answer.headers:
@@ -81,7 +80,7 @@
     return wait_us
 
 
-def report_of(answer: h11.Response) -> dict[str, float]:
+def report_of(answer: Answer) -> dict[str, float]:
     """The load report that any answer may carry; values that are no figures are unknown."""
     report: dict[str, float] = {}
     for name, value in answer.headers:
@@ -97,20 +96,20 @@
     return report
 
 
-def verdict_of(answer: h11.Response) -> Verdict:
+def verdict_of(answer: Answer) -> Verdict:
     """What a status proves; one that the protocol does not know proves nothing."""
-    if answer.status_code == 503 and any(n == b"x-no-slot" and v == b"1" for n, v in answer.headers):
+    if answer.status == 503 and any(n == b"x-no-slot" and v == b"1" for n, v in answer.headers):
         return Verdict.NOT_SENT
     table = {DELIVERED: Verdict.OK, 429: Verdict.FULL, 503: Verdict.FULL}
     unsent = dict.fromkeys((400, 404, 405, OVER, 413, 431, 504), Verdict.NOT_SENT)
-    return (table | unsent).get(answer.status_code, Verdict.ERROR)
+    return (table | unsent).get(answer.status, Verdict.ERROR)
 
 
-def told_of(answer: h11.Response, end: str | None, wait_us: int, report: dict[str, float]) -> Told:
+def told_of(answer: Answer, end: str | None, wait_us: int, report: dict[str, float]) -> Told:
     """What a whole answer says of a message: its own end in a batch, else the answer's."""
     if end is not None:
         return Told(ENDS[end], end in ("delivered", "over"), wait_us, report)
-    return Told(verdict_of(answer), answer.status_code in (DELIVERED, OVER), wait_us, report)
+    return Told(verdict_of(answer), answer.status in (DELIVERED, OVER), wait_us, report)
 
 
 def ends_of(body: bytes, parts: Sequence[Part]) -> dict[str, str]:
@@ -309,13 +308,13 @@
             route = self._route(host)
             until = self._now_s() + wait_us / 1e6
             self._waits[route] = max(self._waits.get(route, 0.0), until)
-        if answer.status_code == DELIVERED and len(parts) == 1:
+        if answer.status == DELIVERED and len(parts) == 1:
             self._tell(exchange, parts[0], Told(Verdict.OK, True, wait_us, report))
             parts = []
         # Any other answer counts when it is whole: a head that says "never ran" proves nothing if the
         # body shows that the answer is spoilt, for the request has run then.
         body = await connection.body(MOST_ANSWER)
-        ends = ends_of(body, parts) if answer.status_code == DELIVERED and parts else {}
+        ends = ends_of(body, parts) if answer.status == DELIVERED and parts else {}
         for part in parts:
             self._tell(exchange, part, told_of(answer, ends.get(part.id), wait_us, report))
         return self._keep(host, connection)
@@ -337,7 +336,7 @@
         idle = self._idle.get(host, [])
         while idle:
             connection, timer = idle.pop()
-            asyncio.get_running_loop().remove_reader(connection.sock)
+            asyncio.get_running_loop().remove_reader(connection.fd)
             timer.cancel()
             if connection.quiet():
                 return connection
@@ -353,7 +352,7 @@
             return False
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self._idle_s, self._expire, host, connection)
-        loop.add_reader(connection.sock, self._expire, host, connection)
+        loop.add_reader(connection.fd, self._expire, host, connection)
         self._idle.setdefault(host, []).append((connection, timer))
         return True
 
@@ -365,6 +364,6 @@
 
     @staticmethod
     def _drop(connection: Connection, timer: asyncio.TimerHandle) -> None:
-        asyncio.get_running_loop().remove_reader(connection.sock)
+        asyncio.get_running_loop().remove_reader(connection.fd)
         timer.cancel()
         connection.close()
--- a/mallowlug/rig/world/platform.py
+++ b/mallowlug/rig/world/platform.py
@@ -137,10 +137,12 @@
         news = self.dialed(news)
         states: dict[str, Any] = {word: state for state, word in STATES.items()}
         for entry in news["hosts"]:
-            if self._muted:
-                self._unsaid.append((entry["host"], states[entry["health"]]))
-            else:
-                self.writer.add(rec.Told(self.writer.now, self.relay, entry["host"], states[entry["health"]]))
+            state = states[entry["health"]]
+            if self._muted and state != "ready":
+                self._unsaid.append((entry["host"], state))
+            else:  # a link that is cut after some bytes may have let it pass: whoever heard it may send
+                self._unsaid = [said for said in self._unsaid if said[0] != entry["host"]]
+                self.writer.add(rec.Told(self.writer.now, self.relay, entry["host"], state))
         connection.chunk(json.dumps(news).encode() + b"\n")
         self.known = self.dialed(self.listing.whole())
 
--- a/mossfront/backlog.py
+++ b/mossfront/backlog.py
@@ -62,6 +62,9 @@
 
     def least(self, at_us: float, late_us: Iterable[int], cost: Score) -> tuple[float, int, int, Message]:
         """Cost, aim, serial and message of the one that costs least, and of equals of the oldest."""
+        if len(self.entries) == 1:
+            only = self.entries[0]
+            return cost(only[2]), *only
         found, aim_us = min((cost(m), m.aim_us) for m in self.beside(at_us, late_us))
         return found, *self.entries[bisect_left(self.entries, (aim_us,))]
 
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -117,6 +117,7 @@
         for host, endpoint in self.endpoints.items() if event.kind is not RosterKind.CHANGES else ():
             if host not in named:
                 endpoint.follow(Listing.GONE, self.now)
+                self.dests[endpoint.dest].listed_anew()
         start, later = max(1, int(CAP_SHARE * self.set.slots)), bool(self.endpoints)
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
@@ -124,11 +125,13 @@
             if known is None or (known.dest, known.kind) != (entry.dest, kind):
                 if known is not None:  # the host moved: calls out are settled with the old endpoint
                     del self.dests[known.dest].endpoints[entry.host]
+                    self.dests[known.dest].listed_anew()
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
                 known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
                 known.start, known.quota = start, 1 if later else start
                 self.endpoints[entry.host] = dest.endpoints[entry.host] = known
             known.follow(entry.listing, self.now)
+            dest.listed_anew()
             self.look[entry.dest] = None
             if self.set.rates_told and entry.listing is Listing.READY:
                 self._told(known.limit, entry.rate_hint / (1.5 if self.set.rates_rough else 1.0))
@@ -342,11 +345,18 @@
     def _suspect(self, endpoint: Endpoint) -> bool:
         """Whether a call is overdue and no answer came since: a hang, seen before its time-outs."""
         ok_us = endpoint.limit.ok_us
-        return any(self.now - c.sent_us > c.overdue_us >= ok_us - c.sent_us for c in endpoint.calls)
+        for call in endpoint.calls:
+            if self.now - call.sent_us > call.overdue_us >= ok_us - call.sent_us:
+                return True
+        return False
 
     def _ill(self, endpoint: Endpoint) -> bool:
-        shares = [share.share(self.now) for share in self.trials]
-        return any(g.strikes > 1 or (g.strikes and shares[g.refused] > OUTAGE_MARK) for g in endpoint.guards)
+        for guard in endpoint.guards:
+            if guard.strikes > 1:
+                return True
+            if guard.strikes and self.trials[guard.refused].share(self.now) > OUTAGE_MARK:
+                return True
+        return False
 
     def _fail(self, endpoint: Endpoint, guard: Guard, verdict: Verdict, sent_us: int) -> None:
         """A strike, and a pause before the next trial that grows with the outage's age."""
@@ -451,7 +461,7 @@
             if not message.done and message.id in self.dests[message.dest].held:
                 (self._await_end if self._end_us(message) > self.now else self._give_up)(message)
         for dest in [self.dests[number] for number in self.look]:
-            start = min((e.limit.wait_us for e in dest.ready()), default=0)
+            start = min((e.limit.wait_us for e in dest.ready()), default=0) if dest.held else 0
             if start > self.now:  # told to wait past the message's time: answer now
                 for message in self._ending(dest, start):
                     self._give_up(message)
@@ -484,15 +494,19 @@
 
     def _worth(self, message: Message, at_us: float) -> float:
         """What the message earns if delivered at that time."""
-        cls, late_us = message.cls, max(0.0, at_us - message.aim_us)
-        worth = 1 - (1 - cls.late_worth) * late_us / max(1, cls.deadline_us - cls.aim_us)
+        if at_us >= message.deadline_us:
+            return 0.0
+        if (late_us := at_us - message.aim_us) <= 0:
+            return message.worth
+        cls = message.cls
         if self.set.halves:
-            worth = max(cls.late_worth, math.pow(0.5, late_us / max(1, cls.aim_us)))
-        return message.worth * worth * (at_us < message.deadline_us)
+            return message.worth * max(cls.late_worth, math.pow(0.5, late_us / max(1, cls.aim_us)))
+        return message.worth * (1 - (1 - cls.late_worth) * late_us / max(1, cls.deadline_us - cls.aim_us))
 
-    def _score(self, message: Message) -> float:
-        """Worth lost by waiting a while longer, and a part of the worth itself."""
-        at_us = self.now + self._record(message).mean_us
+    def _score(self, message: Message, at_us: float | None = None) -> float:
+        """Worth lost by waiting a while longer, and a part of the worth itself, if it is there then."""
+        if at_us is None:
+            at_us = self.now + self._record(message).mean_us
         now = self._worth(message, at_us)
         return now - self._worth(message, at_us + URGENCY_US) + KEEP_WORTH * now
 
@@ -540,7 +554,8 @@
 
     def _offer(self, front: Front, lane: Lane, risk: float, slot_us: float) -> None:
         """A lane's best message, before all that are worse."""
-        cost, aim_us, serial, message = lane.least(*self._when(lane), lambda m: -self._score(m))
+        at_us, late_us = self._when(lane)
+        cost, aim_us, serial, message = lane.least(at_us, late_us, lambda m: -self._score(m, at_us))
         heapq.heappush(front, (risk, cost / slot_us, aim_us, serial, message, lane, slot_us))
 
     def _spots(self, message: Message, opened: dict[str, Call]) -> list[Endpoint]:
@@ -557,15 +572,21 @@
 
     def _room(self, dest: Destination, endpoint: Endpoint) -> bool:
         """Whether one more call to the endpoint is within slots, cap, quota, wait, pace and suspicion."""
-        others = dest.endpoints.values()
-        full = self.calls_out >= self.set.slots or len(endpoint.calls) >= max(1, int(endpoint.quota))
-        if full or any(self.now < guard.clear_us for guard in endpoint.guards):
+        if self.calls_out >= self.set.slots or len(endpoint.calls) >= max(1, int(endpoint.quota)):
             return False
+        for guard in endpoint.guards:
+            if self.now < guard.clear_us:
+                return False
+        others = dest.endpoints.values()
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
             return False
+        out = 0
+        for other in others:
+            out += len(other.calls)
+        if out < max(1, int(SICK_SHARE * self.set.slots)):  # within the lower cap nobody asks which one binds
+            return True
         sick = any(e.ratio.share(self.now) > HIGH_MARK or self._ill(e) or self._suspect(e) for e in others)
-        cap = int((SICK_SHARE if sick else CAP_SHARE) * self.set.slots)
-        return sum(len(e.calls) for e in others) < max(1, cap)
+        return not sick and out < max(1, int(CAP_SHARE * self.set.slots))
 
     def _cost(self, message: Message, endpoint: Endpoint) -> float:
         """Time to be served there, with its failures and its fee turned into time."""
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -60,7 +60,8 @@
     @property
     def clear_us(self) -> int:
         """When nothing here holds back a call any more."""
-        return max(self.wait_us, self.next_us, self.spaced_us)
+        clear_us = self.wait_us if self.wait_us > self.next_us else self.next_us
+        return clear_us if clear_us > self.spaced_us else self.spaced_us
 
 
 class Endpoint:
@@ -119,7 +120,14 @@
         self.lanes: dict[tuple[object, ...], Lane] = {}  # those of them that may go
         self.resting: dict[str, Message] = {}  # those whose turn it is and whose key rests
         self.due_us = 0  # when it is noted to be looked at again
+        self._ready: list[Endpoint] | None = None
+
+    def listed_anew(self) -> None:
+        """Its endpoints, or how they are listed, have changed."""
+        self._ready = None
 
     def ready(self) -> list[Endpoint]:
         """Endpoints that the directory lists as ready."""
-        return [e for e in self.endpoints.values() if e.listing is Listing.READY]
+        if self._ready is None:
+            self._ready = [e for e in self.endpoints.values() if e.listing is Listing.READY]
+        return self._ready
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,95 @@
+"""What a message costs, counted in simulated time: the same on every machine; what grows has been changed.
+
+Times are ``bench/``'s; here are function calls of the relay's own code, records and bytes of its journal.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+import pytest
+
+from mallowlug.core.journal import Journal
+from mallowlug.rig.judge import record as rec
+from mallowlug.rig.sim.ground import simulate
+from mallowlug.rig.world import scenario
+from mossfront.brain import Relay
+from tests.world import ROOT
+
+ROOMS = ("mossfront", "mallowlug/core", "mallowlug/fronts", "mallowlug/partners", "mallowlug/net")
+# Function calls a message by room, with a tenth of room above what was counted when the bound was set.
+MOST = {
+    "mossfront": 222, "mallowlug/core": 61, "mallowlug/fronts": 30, "mallowlug/partners": 24,
+    "mallowlug/net": 33,
+}  # fmt: skip
+
+
+def room_of(path: str) -> str:
+    """The room of the relay that a file belongs to; empty for none."""
+    return next((room for room in ROOMS if f"/{room}/" in path), "")
+
+
+def counted(folder: Path) -> tuple[Counter[str], int]:
+    """Function calls by room on a calm day of 6 s, and how many messages it had."""
+    found, rooms = Counter[str](), dict[str, str]()
+
+    def called(frame: FrameType, event: str, _arg: Any) -> None:
+        if event == "call":
+            path = frame.f_code.co_filename
+            if path not in rooms:
+                rooms[path] = room_of(path)
+            found[rooms[path]] += 1
+
+    world = scenario.load(ROOT / "scenarios" / "calm.toml").model_copy(update={"length_s": 6.0})
+    sys.setprofile(called)
+    try:
+        done = simulate(world, folder)
+    finally:
+        sys.setprofile(None)
+    messages = sum(isinstance(event, rec.Ask) for event in rec.read(done.path).events)
+    return found, messages
+
+
+def over(found: Counter[str], messages: int) -> dict[str, float]:
+    """The rooms that cost more than their bound, with their calls a message."""
+    costs = {room: found[room] / messages for room in ROOMS}
+    return {room: cost for room, cost in costs.items() if cost > MOST[room]}
+
+
+def test_a_message_costs_no_more_calls_than_when_it_was_counted(tmp_path: Path) -> None:
+    found, messages = counted(tmp_path)
+    assert messages > 100
+    assert over(found, messages) == {}
+
+
+def test_a_pass_over_all_that_is_held_is_noticed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = Relay._dispatch
+
+    def slow(self: Relay) -> None:
+        for message in self.messages.values():
+            self._score(message)
+        real(self)
+
+    monkeypatch.setattr(Relay, "_dispatch", slow)
+    assert "mossfront" in over(*counted(tmp_path))
+
+
+def test_a_delivered_message_has_three_records(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Taken on, tried, over: each is a write to the disk."""
+    kinds, real = Counter[str](), Journal._keep
+
+    def kept(self: Journal, head: list[Any], raw: bytes) -> None:
+        kinds[head[0]] += 1
+        real(self, head, raw)
+
+    monkeypatch.setattr(Journal, "_keep", kept)
+    world = scenario.load(ROOT / "scenarios" / "calm.toml").model_copy(update={"length_s": 3.0})
+    done = simulate(world, tmp_path)
+    messages = sum(isinstance(event, rec.Ask) for event in rec.read(done.path).events)
+    assert kinds["in"] == messages
+    assert messages - 2 <= kinds["over"] <= messages  # the world ends while the last ones are out
+    assert messages <= kinds["try"] <= 1.05 * messages
