Fold destinations that nobody uses to one packed row; read long lists in slices

Need: each listed destination had full state in the module, the partners' side and the core, used or not (2.7 kB with one endpoint), a whole list over 1 MiB ended the watch, and with thousands listed every piece of news went through all.

Change: core/listings.py (no I/O) keeps a destination as one byte string and wakes it for a message, a message of a former life or a former life's care; module and partners hear of its endpoints first. Up to 1,024 stay awake, so an ordinary list is as before. Beyond that what is unused for 60 s is asked (Idle), and the module alone says whether nothing binds it (Asleep): no message, call, told wait, pause, care, cold return or unended outage. A list is read in slices of 500 hosts; its line may be an eighth of the memory. Hosts that are gone are looked for once a second.

--- a/mallowlug/cli/run.py
+++ b/mallowlug/cli/run.py
@@ -27,13 +27,17 @@
     )
     try:
         extras = config.NOTHING if operator is None else load(operator)
+        gc.disable()  # a long list is much that lasts until it is taken in
         cfg = config.load(POSIX)
         if extras.log_format == "json":
             from mallowlug.operator import logs  # noqa: PLC0415
 
             logs.install(cfg.name, f"{cfg.seed:x}")
+        gc.enable()
         gc.freeze()  # modules and settings stay: going through them each time took a quarter of the CPU
-        return asyncio.run(serve(cfg, POSIX, extras))
+        main = serve(cfg, POSIX, extras)
+        del cfg  # it holds the list as it was known, which goes once it is taken in
+        return asyncio.run(main)
     except config.ConfigError as error:
         LOG.critical("configuration: %s", error)
         return 2
--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -6,11 +6,14 @@
 import logging
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from mallowlug import config
 from mallowlug.core.clock import clock_of
 from mallowlug.core.journal import Journal
+from mallowlug.core.listings import Listings
+from mallowlug.core.model import HostList
 from mallowlug.core.ports import Front, Intake, Plugs
 from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import Watch
@@ -46,13 +49,16 @@
             released=released,
             system=system,
         ),
-        directory=lambda told, failed: Watch(cfg.discovery, cfg.known.seq, told, failed, system),
+        directory=lambda told, failed: Watch(
+            cfg.discovery, cfg.known.seq, told, failed, system, most_line=cfg.memory_bytes // 8
+        ),
         ends=lambda confirmed: Notices(cfg.discovery, confirmed, system),
     )
 
 
 async def serve(cfg: config.Config, system: System, extras: config.Extras = config.NOTHING) -> int:
     """Run until SIGTERM or until the step loop breaks; the exit code."""
+    known, cfg = cfg.known, replace(cfg, known=HostList(cfg.known.seq, True, ()))
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[int] = loop.create_future()
     journal = Journal(cfg.state, cfg.disk_bytes, system.disk, extras.durable)
@@ -64,10 +70,10 @@
     driver = Driver(
         settings=cfg.settings,
         seed=cfg.seed,
-        known=cfg.known,
         journal=journal,
         plugs=plugs_of(cfg, system),
         clock=clock_of(system, cfg.state, loop.time),
+        listings=Listings(extras.awake, extras.rest_s),
         crashed=crashed,
     )
     fronts = fronts_of(cfg, extras, driver, system)
@@ -76,7 +82,8 @@
         loop.add_signal_handler(number, terminated.set)
     # Until the process is gone, also while it shuts down: a signal without a handler would end it.
     loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg, system)
-    driver.start()
+    driver.start(known)
+    del known  # with many destinations it is by far the largest thing here
     for front in fronts:
         await front.start()
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from mallowlug.core.model import Address, HostList
 from mallowlug.directory.discovery import read_list
 from mallowlug.system import Disk, System, save
@@ -35,6 +36,7 @@
     settings: Settings
     connect_timeout_us: int
     disk_bytes: int
+    memory_bytes: int
     sockets: int
     known: HostList
 
@@ -56,6 +58,8 @@
     log_format: str = "text"
     fronts: tuple[FrontPlan, ...] = ()
     durable: bool = False  # the journal outlasts the loss of the machine's power
+    awake: int = 1024  # destinations that stay awake, used or not
+    rest_s: float = 60.0  # s without a use after which one beyond them may sleep
 
 
 NOTHING = Extras()
@@ -132,7 +136,7 @@
     """Read ``$ROUTER_CONFIG``; where a variable of its own is set, that one counts."""
     environ = system.environ
     try:
-        raw = json.loads(system.disk.read(Path(environ["ROUTER_CONFIG"])))
+        raw = msgspec.json.decode(system.disk.read(Path(environ["ROUTER_CONFIG"])))
         pairs = dict(flatten(raw["settings"]))
         limits = raw.get("limits", {})
         return Config(
@@ -144,11 +148,14 @@
             settings=replace(settings_of(pairs), must_ask=True),
             connect_timeout_us=whole(pairs, "allowed.connect_timeout_us", 1_000_000),
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
+            memory_bytes=int(float(limits.get("memory_mb", 64)) * 1_000_000),
             sockets=int(limits.get("sockets", 1024)),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
             discovery=discovery_of(system, raw, reloading),  # last: what cannot be used leaves no mark
         )
     except KeyError as error:
         raise ConfigError(f"missing {error.args[0]}") from None
-    except (OSError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as error:
+    except (
+        OSError, TypeError, ValueError, AttributeError, OverflowError, RecursionError, msgspec.MsgspecError,
+    ) as error:  # fmt: skip
         raise ConfigError(str(error)) from error
--- /dev/null
+++ b/mallowlug/core/listings.py
@@ -0,0 +1,127 @@
+"""What the directory lists, compactly: full state is made for a destination when it is first used.
+
+A destination is asleep or awake. Asleep it is a few bytes here, and neither the module nor the partners'
+side knows of it. Awake it is known to both. Up to a stated number simply stay awake; with more than that
+awake, those unused longest are put to sleep again once the module says that nothing binds them. No I/O here.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from mallowlug.core.model import HostList, Listed
+from mossfront.interface import Entry, Listing
+
+LOOKED_AT = 16  # destinations that are asked to sleep at once
+# Host, address, port, zone, kind, listing, hint, later.
+Row = tuple[str, str, int, str, str, str, float, bool]
+ROWS = msgspec.json.Decoder(list[Row])
+pack = msgspec.json.Encoder().encode
+
+
+def row_of(listed: Listed, later: bool) -> Row:
+    """An endpoint as it is kept; ``later``: it came after the first list, and may be new and cold."""
+    entry, (address, port) = listed.entry, listed.dial
+    return entry.host, address, port, entry.zone, entry.kind, entry.listing.value, entry.rate_hint, later
+
+
+def listed_of(row: Row, dest: int) -> Listed:
+    """What ``row_of`` has kept."""
+    host, address, port, zone, kind, listing, hint, _ = row
+    return Listed(Entry(host, dest, zone, kind, Listing(listing), hint), (address, port))
+
+
+class Listings:
+    """Every destination that is listed, and which of them are awake."""
+
+    def __init__(self, awake: int, rest_s: float) -> None:
+        self._most, self._rest_s = awake, rest_s
+        self._rows: dict[int, bytes] = {}  # by destination: its endpoints
+        self._awake: OrderedDict[int, float] = OrderedDict()  # by when they were used last (s)
+
+    def __contains__(self, dest: int) -> bool:
+        return dest in self._rows
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    @property
+    def crowded(self) -> bool:
+        """Whether more are awake than may stay so without being used."""
+        return len(self._awake) > self._most
+
+    def follow(self, news: HostList, now_s: float) -> HostList:
+        """Take news in; the part of it that those who know only what is awake have to hear.
+
+        A whole list stays one: it names every endpoint that is awake and listed.
+        """
+        changed: dict[int, dict[str, Listed]] = {}
+        later = bool(self._rows)
+        for listed in news.hosts:
+            changed.setdefault(listed.entry.dest, {})[listed.entry.host] = listed
+        if news.whole:
+            for dest in [dest for dest in self._rows if dest not in changed]:
+                del self._rows[dest]
+        for dest, hosts in changed.items():
+            self._take(dest, hosts, news.whole, later)
+        for dest in changed:
+            if len(self._awake) >= self._most:
+                break
+            self._awake.setdefault(dest, now_s)
+        heard = tuple(listed for listed in news.hosts if listed.entry.dest in self._awake)
+        return HostList(news.seq, news.whole, heard)
+
+    def _take(self, dest: int, hosts: dict[str, Listed], whole: bool, later: bool) -> None:
+        """One destination's news."""
+        former = {row[0]: row for row in ROWS.decode(self._rows[dest])} if dest in self._rows else {}
+        rows = {} if whole else dict(former)
+        for host, listed in hosts.items():
+            rows.pop(host, None)
+            if listed.entry.listing is not Listing.GONE:
+                rows[host] = row_of(listed, former[host][-1] if host in former else later)
+        if rows:
+            self._rows[dest] = pack(list(rows.values()))
+        else:
+            self._rows.pop(dest, None)
+
+    def wake(self, dest: int, now_s: float) -> Iterator[tuple[bool, HostList]]:
+        """A destination is used. Where it slept: its endpoints, with whether these came later."""
+        slept = dest not in self._awake
+        self._awake[dest] = now_s
+        self._awake.move_to_end(dest)
+        if slept and dest in self._rows:
+            rows = ROWS.decode(self._rows[dest])
+            for later in (False, True):
+                if found := tuple(listed_of(row, dest) for row in rows if row[-1] is later):
+                    yield later, HostList(0, False, found)
+
+    def tired(self, now_s: float) -> list[int]:
+        """Destinations that may sleep now, if nothing binds them; each is asked about again only later."""
+        found: list[int] = []
+        while len(self._awake) - len(found) > self._most and len(found) < LOOKED_AT:
+            dest, used_s = next(iter(self._awake.items()))
+            if now_s - used_s < self._rest_s:
+                break
+            self._awake[dest] = now_s
+            self._awake.move_to_end(dest)
+            found.append(dest)
+        return found
+
+    def sleep(self, dest: int) -> HostList:
+        """A destination sleeps: to the partners' side it is as if its endpoints were gone."""
+        self._awake.pop(dest, None)
+        rows = ROWS.decode(self._rows[dest]) if dest in self._rows else []
+        gone = (listed_of((*row[:5], Listing.GONE.value, *row[6:]), dest) for row in rows)
+        return HostList(0, False, tuple(gone))
+
+    def homes(self, hosts: Iterable[str]) -> dict[str, int]:
+        """The destinations of some endpoints; this goes through all that is listed."""
+        wanted = {host: host.encode() for host in hosts}
+        found: dict[str, int] = {}
+        for dest, rows in self._rows.items() if wanted else ():
+            if any(name in rows for name in wanted.values()):
+                found |= {row[0]: dest for row in ROWS.decode(rows) if row[0] in wanted}
+        return found
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -16,6 +16,7 @@
 
 from mallowlug.core.clock import Clock
 from mallowlug.core.journal import Attempt, Journal, JournalFullError, Recovered
+from mallowlug.core.listings import Listings
 from mallowlug.core.model import (
     Address,
     Answer,
@@ -34,6 +35,7 @@
 from mossfront import interface as api
 
 LOG = logging.getLogger(__name__)
+REST_S = 0.25  # s between looks for destinations that may sleep
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 UNKNOWN_US = 1 << 60  # us: an attempt so old that no window covers it
@@ -57,10 +59,10 @@
         *,
         settings: api.Settings,
         seed: int,
-        known: HostList,
         journal: Journal,
         plugs: Plugs,
         clock: Clock,
+        listings: Listings,
         crashed: Callable[[BaseException], None],
     ) -> None:
         self._set, self._journal, self._crashed = settings, journal, crashed
@@ -78,13 +80,13 @@
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
-        self._dests: set[int] = set()  # destinations that the list has named
-        self._known = known
+        self._listings = listings
+        self._rest: asyncio.TimerHandle | None = None  # when idle destinations are asked to sleep
 
-    def start(self) -> None:
+    def start(self, known: HostList) -> None:
         """Take up what the last life left, then follow the list; called before clients are answered."""
         self._ends.start()
-        self._listed(self._known, api.RosterKind.CACHED)
+        self._listed(known, api.RosterKind.CACHED)
         now_us = self.clock()
         for message in self._journal.recovered.values():
             self._resume(message, now_us)
@@ -92,6 +94,8 @@
             LOG.info("journal: %d unfinished messages taken up", count)
         self._journal.recovered.clear()
         self._journal.careless(now_us)
+        for dest in self._listings.homes(self._journal.cares).values():
+            self._use(dest)
         for host, until_us in self._journal.cares.items():
             self._inbox.append(api.Care(host, until_us - now_us))
         self._step()
@@ -108,7 +112,7 @@
 
     def close(self) -> None:
         """Let go of everything."""
-        for timer in (self._timer, self._wake, self._chore):
+        for timer in (self._timer, self._wake, self._chore, self._rest):
             if timer is not None:
                 timer.cancel()
         self._directory.close()
@@ -134,7 +138,7 @@
         """
         if reason := self._misfit(handed):
             return Failed(reason)
-        if self._dests and handed.dest not in self._dests:
+        if len(self._listings) and handed.dest not in self._listings:
             return self.refusal
         if handed.id in self._held or handed.id in self._over:
             return Taken()
@@ -146,6 +150,7 @@
             LOG.warning("a message was refused: %s", error, extra={"message_id": handed.id})
             return self.refusal
         self._held[handed.id] = Held(handed, body)
+        self._use(handed.dest)
         self._post(self._arrival(handed, self.clock()))
         return Taken()
 
@@ -181,6 +186,7 @@
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
         self._held[message.id] = Held(handed, message.body, attempts)
+        self._use(handed.dest)
         former: dict[str, Any] = {"attempts": attempts}
         if risky := [a for a in message.attempts if not a.never_ran]:
             first = min(risky, key=lambda attempt: attempt.at_us)
@@ -191,10 +197,28 @@
 
     def _listed(self, news: HostList, kind: api.RosterKind | None = None) -> None:
         """News of the list binds calls at once and the module with its next step."""
-        self._partners.apply(news)
-        self._dests |= {listed.entry.dest for listed in news.hosts}
+        heard = self._listings.follow(news, self._now_s())
         kind = kind or (api.RosterKind.WHOLE if news.whole else api.RosterKind.CHANGES)
-        self._post(api.Roster(kind, tuple(listed.entry for listed in news.hosts)))
+        self._tell(heard, kind)
+
+    def _tell(self, news: HostList, kind: api.RosterKind, later: bool = False) -> None:
+        self._partners.apply(news)
+        self._post(api.Roster(kind, tuple(listed.entry for listed in news.hosts), later))
+
+    def _use(self, dest: int) -> None:
+        """A destination gets a message: where it slept, all sides hear of it first."""
+        for later, news in self._listings.wake(dest, self._now_s()):
+            self._tell(news, api.RosterKind.AWAKE, later)
+        if self._rest is None and self._listings.crowded:
+            self._rest = asyncio.get_running_loop().call_later(REST_S, self._rested)
+
+    def _rested(self) -> None:
+        """Ask the module to let go of what is not used."""
+        self._rest = None
+        for dest in self._listings.tired(self._now_s()):
+            self._post(api.Idle(dest))
+        if self._listings.crowded:
+            self._rest = asyncio.get_running_loop().call_later(REST_S, self._rested)
 
     def _unlisted(self) -> None:
         self._post(api.Roster(api.RosterKind.FAILED))
@@ -288,6 +312,8 @@
                     if self._wake is not None:
                         self._wake.cancel()
                     self._wake = loop.call_later(action.delay_us / 1e6, self._post, api.TimerDue())
+                case api.Asleep():
+                    self._partners.apply(self._listings.sleep(action.dest))
                 case api.Care():
                     self._journal.care(action.host, self.clock() + action.for_us)
                 case api.Log():
--- a/mallowlug/directory/discovery.py
+++ b/mallowlug/directory/discovery.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import msgspec
+
 from mallowlug.core.model import Address, HostList, Listed
 from mallowlug.net.http import FAULTS, Connection
 from mallowlug.system import System
@@ -17,7 +18,7 @@
 HOSTS = "/discovery/hosts"
 FIRST_S = 3.0  # s for the first line of a watch; a call that waits too long is ended by the other side
 QUIET_S = 3.0  # s of silence that break a watch: a cut network is silent, and an empty line is due every 2 s
-MOST_LINE = 1 << 20  # bytes of one line of a watch
+SLICE = 500  # hosts of a line that are read before clients have their turn
 STATES = {"SERVING": Listing.READY, "DRAINING": Listing.DRAINING, "DELETED": Listing.GONE}
 
 
@@ -41,13 +42,24 @@
         return None
 
 
-def read_list(raw: Any) -> HostList:
-    """A list in discovery's form; ``ValueError`` where it is none."""
+def slices(raw: Any) -> Iterator[HostList]:
+    """A list in discovery's form, as far as it is read, then whole; ``ValueError`` where it is none."""
     try:
-        hosts = [read_host(item) for item in raw["hosts"]]
-        return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(host for host in hosts if host))
+        seq, whole, items = int(raw["seq"]), bool(raw["whole"]), list(raw["hosts"])
     except (KeyError, TypeError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from None
+    hosts: list[Listed] = []
+    for start in range(0, max(1, len(items)), SLICE):
+        if start:
+            yield HostList(seq, whole, ())
+        hosts += filter(None, map(read_host, items[start : start + SLICE]))
+    yield HostList(seq, whole, tuple(hosts))
+
+
+def read_list(raw: Any) -> HostList:
+    """A list in discovery's form; ``ValueError`` where it is none."""
+    *_, whole = slices(raw)
+    return whole
 
 
 class Watch:
@@ -60,7 +72,10 @@
         told: Callable[[HostList], None],
         failed: Callable[[], None],
         system: System,
+        *,
+        most_line: int,
     ) -> None:
+        self._most_line = most_line  # bytes: a whole list comes in one line
         self._address, self._seq, self._told, self._failed = address, seq, told, failed
         self._system = system
         self._task: asyncio.Task[None] | None = None
@@ -127,7 +142,7 @@
 
     async def _lines(self, connection: Connection) -> None:
         """Tell each line in order until the watch ends, falls silent or makes no sense."""
-        rest, quiet_s = b"", FIRST_S
+        line, quiet_s = bytearray(), FIRST_S
         while True:
             try:
                 async with asyncio.timeout(quiet_s):
@@ -136,13 +151,30 @@
                 if connection.quiet():
                     raise
                 continue  # this process stood still, not the other side: what it said meanwhile is here
-            *lines, rest = (rest + data).split(b"\n")
-            if len(rest) > MOST_LINE:
-                raise ValueError("a line without end")
-            for line in lines:
+            *ends, rest = data.split(b"\n")
+            for end in ends:
+                line += end
                 if line.strip():
                     quiet_s = QUIET_S
-                    self._line(read_list(json.loads(line)))
+                    self._line(await self._read(bytes(line)))
+                line.clear()
+            line += rest
+            if len(line) > self._most_line:
+                raise ValueError("a line without end")
+
+    @staticmethod
+    async def _read(line: bytes) -> HostList:
+        """A line's news; a long list is read in slices, so that no client waits for it."""
+        try:
+            raw = msgspec.json.decode(line)
+        except msgspec.MsgspecError as error:
+            raise ValueError(f"not JSON: {error}") from error
+        reading = slices(raw)
+        news = next(reading)
+        for further in reading:
+            news = further
+            await asyncio.sleep(0)
+        return news
 
     def _line(self, news: HostList) -> None:
         if asyncio.current_task() is self._task:
--- a/mallowlug/operator/model.py
+++ b/mallowlug/operator/model.py
@@ -47,11 +47,19 @@
     durable: bool = False
 
 
+class DestinationsTable(toml_check.Strict):
+    """``[destinations]``: how many are kept ready, used or not."""
+
+    awake: int = Field(default=1024, ge=1, le=1_000_000)
+    rest_s: float = Field(default=60.0, ge=30.0, le=86_400.0)
+
+
 class OperatorFile(toml_check.Strict):
     """The whole file; every table may be left out."""
 
     log: LogTable = LogTable()
     journal: JournalTable = JournalTable()
+    destinations: DestinationsTable = DestinationsTable()
     front: tuple[FrontTable, ...] = Field(default=(), strict=False)
 
     @field_validator("front")
@@ -74,4 +82,6 @@
         log_format=told.log.format,
         fronts=fronts,
         durable=told.journal.durable,
+        awake=told.destinations.awake,
+        rest_s=told.destinations.rest_s,
     )
--- a/mallowlug/rig/sim/ground.py
+++ b/mallowlug/rig/sim/ground.py
@@ -67,7 +67,8 @@
         """A relay on a machine of its own."""
         disk = SimDisk(random.Random(f"disk {name} {self.scenario.seed}"))
         self.writer = writer
-        extras = Extras(durable=self.scenario.relays.durable)
+        told = self.scenario.relays
+        extras = Extras(durable=told.durable, awake=told.awake, rest_s=told.rest_s)
         relay = SimRelay(name, self.kernel, Machine(name, disk, extras), writer, config)
         self.relays.append(relay)
         return relay
--- a/mallowlug/rig/sim/hours.py
+++ b/mallowlug/rig/sim/hours.py
@@ -11,8 +11,8 @@
 import gc
 import sys
 import types
-from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections import Counter, deque
+from collections.abc import Iterator, Sequence, Sized
 from contextvars import Context
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -32,6 +32,8 @@
 )  # fmt: skip
 LULL_S = 60.0  # s at an hour's end without traffic or troubles
 SPARE = 0.02  # growth that is no leak: tables keep room for what they once held
+# Bytes for each that is in it.
+EACH: dict[type[Sized], int] = {bytearray: 1, list: 8, dict: 100, set: 40, deque: 8}
 SHOWN = 5  # types that a leak is told by
 
 
@@ -76,6 +78,14 @@
         front += gc.get_referents(found)
 
 
+def size_of(found: object) -> int:
+    """Bytes of an object alone. What grows in leaps counts by what is in it: spare room comes and goes."""
+    for kind, each in EACH.items():
+        if isinstance(found, kind):
+            return len(found) * each
+    return sys.getsizeof(found)
+
+
 def sample(hour: int, relay: SimRelay) -> Sample:
     """Count what a relay holds now."""
     process = relay.process
@@ -83,7 +93,7 @@
     life, objects, size = process.life, Counter[str](), 0
     for found in reached(roots_of(life)):
         objects[type(found).__qualname__] += 1
-        size += sys.getsizeof(found)
+        size += size_of(found)
     files = relay.machine.disk.opened_by(life)
     return Sample(hour, relay.name, life.number, len(life.sockets) + files, len(life.tasks), size, objects)
 
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -107,6 +107,8 @@
     disk_mb: float = Field(default=3.0, gt=0)
     back_s: float = Field(default=0.6, ge=0)  # from a process's end to its next start
     durable: bool = False  # their journals outlast the loss of power
+    awake: int = Field(default=1024, ge=1)  # destinations that stay awake; simulated relays alone
+    rest_s: float = Field(default=60.0, gt=0)  # without a use, after which one may sleep; the same
 
 
 class RulesTable(toml_check.Strict):
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -15,13 +15,14 @@
 
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
-    Action, Arrival, Care, CloseIdle, Effect, Event, Fail, Kind, Listing, Log, Outcome,
+    Action, Arrival, Asleep, Care, CloseIdle, Effect, Event, Fail, Idle, Kind, Listing, Log, Outcome,
     Refuse, Released, Roster, RosterKind, Send, Settings, Subscribe, Verdict, Wake, Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
 
 CAP_SHARE, SICK_SHARE = 0.75, 0.5  # of slots: calls to one healthy, one failing or slow destination
 FORGET_US = 20_000_000  # us after which a host that is gone is forgotten, if nothing binds it any more
+FORGET_EACH_US = 1_000_000  # us between looks for such hosts
 FLOOR_SHARE = 0.02  # of the starting quota: what a server that never answers keeps (the notes' 2%)
 WEIGHT = 0.15  # of the newest call in ratios and latencies: about seven calls of memory
 MEMORY_US = 10_000_000  # us in which evidence fades to a third: ratios, own demand, a slowed pace
@@ -68,6 +69,7 @@
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), 500_000  # next ask; its gap
+        self.forget_us = 0  # when to look next for what is gone
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
         self.ends: list[tuple[int, int, Message]] = []  # heap: when to answer a held message
@@ -75,6 +77,7 @@
     def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in every event of the batch, then answer and dispatch once."""
         self.now, self.actions = now_us, []
+        idle: list[int] = []
         for event in events:
             if isinstance(event, Roster):
                 self._roster(event)
@@ -86,6 +89,8 @@
                 self._close(self.messages[event.id])
             elif isinstance(event, Released):
                 self._release(event)
+            elif isinstance(event, Idle):
+                idle.append(event.dest)
             elif isinstance(event, Care) and event.host in self.endpoints:
                 self._beware(self.endpoints[event.host], event.for_us)
         while self.due and self.due[0][0] <= now_us:
@@ -95,6 +100,8 @@
         self._expire()
         if self.calls_out < self.set.slots:  # else what is held is looked at when a slot is free
             self._dispatch()
+        for number in idle:  # last: what has come for it meanwhile binds it
+            self._let_go(number)
         if 0 <= self.ask_us <= now_us:  # a directory that only answers; an unanswered ask is made again
             self.actions.append(Subscribe())
             self.ask_us = now_us + max(2_000_000, self.set.ask_within_us // 2)
@@ -111,14 +118,16 @@
                 self.ask_us = self.now + int(self.ask_gap_us * self.rng.uniform(0.7, 1.3))
                 self.ask_gap_us = min(2 * self.ask_gap_us, max(500_000, self.set.ask_within_us // 4))
             return
-        if event.kind is not RosterKind.CACHED:
+        if event.kind in (RosterKind.CHANGES, RosterKind.WHOLE):
             self.ask_us, self.ask_gap_us = -1, 500_000
         named = {entry.host for entry in event.entries}
-        for host, endpoint in self.endpoints.items() if event.kind is not RosterKind.CHANGES else ():
+        whole = event.kind in (RosterKind.WHOLE, RosterKind.CACHED)
+        for host, endpoint in self.endpoints.items() if whole else ():
             if host not in named:
                 endpoint.follow(Listing.GONE, self.now)
                 self.dests[endpoint.dest].listed_anew()
-        start, later = max(1, int(CAP_SHARE * self.set.slots)), bool(self.endpoints)
+        start = max(1, int(CAP_SHARE * self.set.slots))
+        later = event.later or (bool(self.endpoints) and event.kind is not RosterKind.AWAKE)
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
             known, kind = self.endpoints.get(entry.host), self.kinds.get(entry.kind, Kind(entry.kind))
@@ -135,18 +144,20 @@
             self.look[entry.dest] = None
             if self.set.rates_told and entry.listing is Listing.READY:
                 self._told(known.limit, entry.rate_hint / (1.5 if self.set.rates_rough else 1.0))
-        self._forget()
+        if event.kind is not RosterKind.AWAKE and self.now >= self.forget_us:
+            self._forget()
 
     def _forget(self) -> None:
         """Let go of hosts that are gone and of destinations that nothing speaks of: ids are ever new.
 
         What binds stays: open calls, a wait, the pause or cold return of a host that may be listed again.
         """
-        for host, endpoint in list(self.endpoints.items()):
+        self.forget_us = self.now + FORGET_EACH_US
+        for host, endpoint in [pair for pair in self.endpoints.items() if pair[1].listing is Listing.GONE]:
             warm_us, guards = self.set.warm_within_us, endpoint.guards
             bound_us = max(max(g.clear_us, g.cold_us + warm_us) for g in guards)
             over = self.now - endpoint.gone_us > FORGET_US and self.now > bound_us
-            if endpoint.listing is Listing.GONE and over and not endpoint.calls:
+            if over and not endpoint.calls:
                 del self.endpoints[host], self.dests[endpoint.dest].endpoints[host]
         if any(not dest.endpoints and not dest.held for dest in self.dests.values()):
             used = {message.dest for message in self.messages.values()}
@@ -155,6 +166,26 @@
                     del self.dests[number]
                     self.look.pop(number, None)
 
+    def _let_go(self, number: int) -> None:
+        """Forget an idle destination, unless something of it still binds; an outage does until it is over."""
+        if (dest := self.dests.get(number)) is not None:
+            if self._bound(dest):
+                return
+            for host in dest.endpoints:
+                del self.endpoints[host]
+            del self.dests[number]
+            self.look.pop(number, None)
+        self.actions.append(Asleep(number))
+
+    def _bound(self, dest: Destination) -> bool:
+        """Whether a message, a call, a wait, a pause, an outage or a cold return there still binds."""
+        for endpoint in dest.endpoints.values():
+            until_us = max(max(g.clear_us, g.cold_us + self.set.warm_within_us) for g in endpoint.guards)
+            struck = any(g.strikes for g in endpoint.guards)
+            if endpoint.calls or struck or self.now <= max(until_us, endpoint.care_us):
+                return True
+        return bool(dest.held or self.wired)
+
     def _told(self, limit: Guard, rate: float | None, left: float | None = None) -> None:
         """A rate told for all relays bounds the pace; the share of it that is left shows what others use."""
         if rate and 0 < rate < math.inf:
--- a/mossfront/drill.py
+++ b/mossfront/drill.py
@@ -150,6 +150,8 @@
             return f"sleep who={who} wait_us={delay} label=wake"
         case api.Log(line=line):
             return f"log who={who} line={line}"
+        case api.Asleep(dest=dest):  # a simulated list is small: no destination is ever called idle here
+            return f"log who={who} line=destination {dest} sleeps"
         case api.Care(host=host, for_us=us):  # nothing outlasts an instance here
             return f"log who={who} line={host} needs care for {us} us"
 
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -42,6 +42,7 @@
     CHANGES = "changes"
     WHOLE = "whole"
     CACHED = "cached"
+    AWAKE = "awake"  # endpoints of destinations that are used again: listed all along, and no news
     FAILED = "failed"
 
 
@@ -164,10 +165,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Roster:
-    """News of the endpoint list."""
+    """News of the endpoint list. ``later``: of used endpoints that came after the first list, perhaps new."""
 
     kind: RosterKind
     entries: tuple[Entry, ...] = ()
+    later: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,7 +249,14 @@
     for_us: int
 
 
-Event = Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Released | Care
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """A destination has not been used for long; the relay may let go of it until it is."""
+
+    dest: int
+
+
+Event = Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Released | Care | Idle
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,6 +310,13 @@
     """Ask the directory for the list's changes from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class Asleep:
+    """Nothing binds an idle destination, and nothing of it is kept here any more."""
+
+    dest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Wake:
     """Ask for a ``TimerDue`` after this delay."""
@@ -315,4 +331,4 @@
     line: str
 
 
-Action = Send | Refuse | Fail | Cancel | CloseIdle | Probe | Subscribe | Wake | Log | Care
+Action = Send | Refuse | Fail | Cancel | CloseIdle | Probe | Subscribe | Asleep | Wake | Log | Care
