Judge: an end held back by two cuts in a row counts from before both

The judge went back before the second cut alone and took the next message of the key, sent 0.26 s earlier, for one sent too soon. Ruled out: the relay's order (the first message had been given up in the module before the second went out).

Change: windows are walked from the last to the first.

--- a/mallowlug/rig/judge/rules.py
+++ b/mallowlug/rig/judge/rules.py
@@ -134,7 +134,8 @@
         at_us, relay = message.end_us, message.ask.relay
         if at_us != message.delivered_us:
             at_us = self.written("directory", at_us) if at_us >= 0 else at_us
-            for start, end in self.cut_off[relay] + self.deaf[relay]:
+            # The last first: where one follows soon on another, it may have been decided before both.
+            for start, end in sorted(self.cut_off[relay] + self.deaf[relay], reverse=True):
                 if start <= at_us and (end < 0 or at_us <= end + self.figures.ready_grace_us):
                     at_us = start
         return at_us
