bench: count delivered messages from the end of the warm-up; one base for connections

Four classes kept their transport by the same lines, and the bare hop wrote a configuration file to get a port.

Change: the warm-up is waited for, then the count begins; Wired keeps the transport; free_port is called itself.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -9,48 +9,45 @@
 import sys
 from collections import deque
 
+from bench.standins import Wired
+
 CONNECTIONS = 16  # to the sink, as many as the relay's slots keep busy
 ENDS = b"\r\n"
 
 
-class Out(asyncio.Protocol):
+class Out(Wired):
     """A connection to the sink: one call at a time."""
 
     def __init__(self, hop: Hop) -> None:
         self._hop = hop
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        super().connection_made(transport)
         self._hop.free(self)
 
     def call(self, body: bytes) -> None:
         """One call."""
-        self._transport.write(b"POST /hook HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        self.transport.write(b"POST /hook HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
     def data_received(self, data: bytes) -> None:
         if data.endswith(b"\r\n\r\n"):
             self._hop.free(self)
 
 
-class In(asyncio.Protocol):
+class In(Wired):
     """A client's connection; what it sends is well-formed."""
 
     def __init__(self, hop: Hop) -> None:
         self._hop, self._buffer = hop, bytearray()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
     def data_received(self, data: bytes) -> None:
         self._buffer += data
         while (request := self._next()) is not None:
             if len(request) == 1:
-                self._transport.write(b"+PONG\r\n")
+                self.transport.write(b"+PONG\r\n")
                 continue
             self._hop.hand(request[-1])
-            self._transport.write(b"+OK\r\n")
+            self.transport.write(b"+OK\r\n")
 
     def _next(self) -> list[bytes] | None:
         """The next whole request."""
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.process import Process, relay_config, running
+from bench.process import Process, free_port, relay_config, running
 from bench.standins import Client, Directory, Sink, requests, serve
 
 CLIENTS, WINDOW = 16, 8  # clients, and requests of each without an answer
@@ -92,7 +92,7 @@
     sink = Sink(0.0)
     sinks, sink_port = await serve(sink.asked)
     with tempfile.TemporaryDirectory(prefix="bench-") as name:
-        port, _ = relay_config(Path(name), {}, 1, SLOTS, 1)
+        port = free_port()
         async with running(Path(name), port, ["-m", "bench.hop", str(port), str(sink_port)]) as process:
             yield World(process, sink, Directory(0, 0, ""), 24)
     sinks.close()
@@ -127,9 +127,10 @@
 async def cost(world: World, count: int, held: int, prefix: str = "m", per_s: float = 0.0) -> Cost:
     """What so many messages cost, with so many held."""
     loop = asyncio.get_running_loop()
+    warm = world.sink.delivered + 10 * SLOTS
     await feed(world, 10 * SLOTS, SLOTS, f"w{prefix}")  # connections, records of what calls take
+    await world.sink.until(warm, 10.0)
     before = world.sink.delivered
-    await world.sink.until(10 * SLOTS, 10.0)
     began_s = loop.time()
     with world.process.used() as used:
         clients = await feed(world, count, held, prefix, per_s)
--- a/bench/standins.py
+++ b/bench/standins.py
@@ -17,16 +17,22 @@
 Asked = Callable[["Peer", bytes, bytes], None]
 
 
-class Peer(asyncio.Protocol):
-    """One connection of a server: cuts requests out of the stream."""
+class Wired(asyncio.Protocol):
+    """A connection that knows its transport."""
 
-    def __init__(self, asked: Asked) -> None:
-        self._asked, self._buffer = asked, bytearray()
+    transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
+
+class Peer(Wired):
+    """One connection of a server: cuts requests out of the stream."""
+
+    def __init__(self, asked: Asked) -> None:
+        self._asked, self._buffer = asked, bytearray()
+
     def data_received(self, data: bytes) -> None:
         self._buffer += data
         while (end := self._buffer.find(HEAD)) >= 0:
@@ -129,7 +135,7 @@
             self._tell(peer, news)
 
 
-class Client(asyncio.Protocol):
+class Client(Wired):
     """One pipelining client: it counts answers and times each from its request's last byte."""
 
     def __init__(self) -> None:
@@ -137,10 +143,6 @@
         self.taken, self.refused, self.took_s = 0, 0, list[float]()
         self.answered = asyncio.Event()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
     def data_received(self, data: bytes) -> None:
         now_s = asyncio.get_running_loop().time()
         self._buffer += data
@@ -155,7 +157,7 @@
     def hand_in(self, data: bytes) -> None:
         """One request."""
         self._out.append(asyncio.get_running_loop().time())
-        self._transport.write(data)
+        self.transport.write(data)
 
     async def fewer_out(self, most: int) -> None:
         """Wait until so few of its requests have no answer."""
@@ -165,7 +167,7 @@
 
     def close(self) -> None:
         """Leave."""
-        self._transport.close()
+        self.transport.close()
 
 
 def requests(prefix: str, destinations: int, size: int, deadline_ms: int) -> Iterator[bytes]:
