Read once more: one chain of retries, cares without a search, one bound for what binds

What binds asks for messages too; a test causes it. - _forget and _bound had the same bound on waits, pauses and cold returns: _until_us. The time of an answer that has begun is a local of answer(). The operator file's defaults are those of Extras.

--- a/mallowlug/core/listings.py
+++ b/mallowlug/core/listings.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import msgspec
 
@@ -116,12 +116,3 @@
         rows = ROWS.decode(self._rows[dest]) if dest in self._rows else []
         gone = (listed_of((*row[:5], Listing.GONE.value, *row[6:]), dest) for row in rows)
         return HostList(0, False, tuple(gone))
-
-    def homes(self, hosts: Iterable[str]) -> dict[str, int]:
-        """The destinations of some endpoints; this goes through all that is listed."""
-        wanted = {host: host.encode() for host in hosts}
-        found: dict[str, int] = {}
-        for dest, rows in self._rows.items() if wanted else ():
-            if any(name in rows for name in wanted.values()):
-                found |= {row[0]: dest for row in ROWS.decode(rows) if row[0] in wanted}
-        return found
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -94,12 +94,12 @@
             LOG.info("journal: %d unfinished messages taken up", count)
         self._journal.recovered.clear()
         self._journal.careless(now_us)
-        for dest in self._listings.homes(self._journal.cares).values():
-            self._use(dest)
+        for listed in known.hosts:
+            if listed.entry.host in self._journal.cares:
+                self._use(listed.entry.dest)
         for host, until_us in self._journal.cares.items():
             self._inbox.append(api.Care(host, until_us - now_us))
         self._step()
-        self._settle()
 
     def move(self, discovery: Address) -> None:
         """The platform is to be found at another address from now on."""
--- a/mallowlug/net/http.py
+++ b/mallowlug/net/http.py
@@ -24,7 +24,6 @@
         self.fd = sock.fileno()
         self.begun = False  # whether a byte of the present request has gone out
         self._end_s: float | None = None  # when the present answer has to be complete
-        self._timed = -1  # interims before the answer that this time is for
         self._answers = Answers()
 
     @classmethod
@@ -58,7 +57,7 @@
         loop, view = asyncio.get_running_loop(), memoryview(data)
         self.unsent, self.begun = len(view), False
         self._answers.begin()
-        self._end_s, self._timed = None, -1
+        self._end_s = None
         while view:
             try:
                 sent = self.sock.send(view)
@@ -110,16 +109,13 @@
 
         The wait for that byte is the caller's to bound; 1xx answers may come long before the final one.
         """
-        answers = self._answers
+        answers, begun = self._answers, -1  # begun: the 1xx answers ahead of the one that has begun
         while answers.head is None:
-            if answers.first and self._timed != answers.interims:
-                self._end_s = asyncio.get_running_loop().time() + ANSWER_S
-                self._timed = answers.interims
-            elif not answers.first:
-                self._end_s = None
             await self._more()
-        if self._timed != answers.interims:
-            self._end_s = asyncio.get_running_loop().time() + ANSWER_S
+            if not answers.first:
+                self._end_s = None
+            elif begun != answers.interims:
+                self._end_s, begun = asyncio.get_running_loop().time() + ANSWER_S, answers.interims
         return answers.head
 
     @property
--- a/mallowlug/operator/model.py
+++ b/mallowlug/operator/model.py
@@ -11,7 +11,7 @@
 from pydantic import AfterValidator, Field, field_validator
 
 from mallowlug import toml_check
-from mallowlug.config import ConfigError, Extras, FrontPlan, address_of
+from mallowlug.config import NOTHING, ConfigError, Extras, FrontPlan, address_of
 
 
 def an_address(text: str) -> str:
@@ -50,8 +50,8 @@
 class DestinationsTable(toml_check.Strict):
     """``[destinations]``: how many are kept ready, used or not."""
 
-    awake: int = Field(default=1024, ge=1, le=1_000_000)
-    rest_s: float = Field(default=60.0, ge=30.0, le=86_400.0)
+    awake: int = Field(default=NOTHING.awake, ge=1, le=1_000_000)
+    rest_s: float = Field(default=NOTHING.rest_s, ge=30.0, le=86_400.0)
 
 
 class OperatorFile(toml_check.Strict):
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -154,9 +154,7 @@
         """
         self.forget_us = self.now + FORGET_EACH_US
         for host, endpoint in [pair for pair in self.endpoints.items() if pair[1].listing is Listing.GONE]:
-            warm_us, guards = self.set.warm_within_us, endpoint.guards
-            bound_us = max(max(g.clear_us, g.cold_us + warm_us) for g in guards)
-            over = self.now - endpoint.gone_us > FORGET_US and self.now > bound_us
+            over = self.now - endpoint.gone_us > FORGET_US and self.now > self._until_us(endpoint)
             if over and not endpoint.calls:
                 del self.endpoints[host], self.dests[endpoint.dest].endpoints[host]
         if any(not dest.endpoints and not dest.held for dest in self.dests.values()):
@@ -169,7 +167,7 @@
     def _let_go(self, number: int) -> None:
         """Forget an idle destination, unless something of it still binds; an outage does until it is over."""
         if (dest := self.dests.get(number)) is not None:
-            if self._bound(dest):
+            if self._bound(number, dest):
                 return
             for host in dest.endpoints:
                 del self.endpoints[host]
@@ -177,14 +175,18 @@
             self.look.pop(number, None)
         self.actions.append(Asleep(number))
 
-    def _bound(self, dest: Destination) -> bool:
+    def _until_us(self, endpoint: Endpoint) -> int:
+        """When no wait, pause or cold return binds there any more."""
+        return max(max(g.clear_us, g.cold_us + self.set.warm_within_us) for g in endpoint.guards)
+
+    def _bound(self, number: int, dest: Destination) -> bool:
         """Whether a message, a call, a wait, a pause, an outage or a cold return there still binds."""
         for endpoint in dest.endpoints.values():
-            until_us = max(max(g.clear_us, g.cold_us + self.set.warm_within_us) for g in endpoint.guards)
             struck = any(g.strikes for g in endpoint.guards)
-            if endpoint.calls or struck or self.now <= max(until_us, endpoint.care_us):
+            if endpoint.calls or struck or self.now <= max(self._until_us(endpoint), endpoint.care_us):
                 return True
-        return bool(dest.held or self.wired)
+        # A call may be out at an endpoint that has moved: its message is all that is left of it here.
+        return bool(self.wired) or any(message.dest == number for message in self.messages.values())
 
     def _told(self, limit: Guard, rate: float | None, left: float | None = None) -> None:
         """A rate told for all relays bounds the pace; the share of it that is left shows what others use."""
--- a/tests/sim/worlds.py
+++ b/tests/sim/worlds.py
@@ -160,7 +160,7 @@
 
 def slept_away(monkey: MonkeyPatch) -> None:
     """An idle destination is let go of whatever still binds there."""
-    monkey.setattr(brain.Relay, "_bound", lambda self, dest: False)
+    monkey.setattr(brain.Relay, "_bound", lambda self, number, dest: False)
 
 
 def sync_left_out(monkey: MonkeyPatch) -> None:
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -4,14 +4,21 @@
 
 import tracemalloc
 from collections.abc import Callable
+from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mallowlug.core.clock import Clock
+from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList, Listed
+from mallowlug.core.ports import Plugs
+from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import SLICE, slices
+from mallowlug.system import POSIX
 from mossfront import interface as api
 from mossfront.brain import Relay
 from tests.support import SAFE, SECOND, entry, roster, sends, settings
@@ -106,10 +113,31 @@
     assert [later for later, _ in listings.wake(0, 63.0)] == [False]
 
 
-def test_the_cares_of_a_former_life_wake_their_destinations() -> None:
-    listings = Listings(1, 60.0)
-    listings.follow(HostList(1, True, (listed("h1", 1), listed("h11", 2), listed("h2", 3))), 0.0)
-    assert listings.homes(["h1", "h2", "nobody"]) == {"h1": 1, "h2": 3}
+@pytest.mark.parametrize(("cared", "heard"), [(("h1", "h2", "nobody"), {1, 3}), ((), {1})])
+async def test_the_cares_of_a_former_life_wake_their_destinations(
+    cared: tuple[str, ...], heard: set[int], tmp_path: Path
+) -> None:
+    """One destination may stay awake, the first; who cares must find the others awake as well."""
+    clock_us = 10 * SECOND
+    former = Journal(tmp_path, 1_000_000, POSIX.disk)
+    for host in cared:
+        former.care(host, clock_us + 20 * SECOND)
+    former.close()
+    follower, journal = Follower(), Journal(tmp_path, 1_000_000, POSIX.disk)
+    partners = Mock(apply=follower.hear)
+    driver = Driver(
+        settings=settings(),
+        seed=1,
+        journal=journal,
+        plugs=Plugs(lambda *_: partners, lambda *_: Mock(), lambda *_: Mock()),
+        clock=Clock(clock_us, lambda: 0.0, lambda: True),
+        listings=Listings(1, 60.0),
+        crashed=lambda error: pytest.fail(repr(error)),
+    )
+    driver.start(HostList(1, True, (listed("h1", 1), listed("h11", 2), listed("h2", 3))))
+    driver.close()
+    journal.close()
+    assert {one.entry.dest for one in follower.known.values()} == heard
 
 
 def test_a_sleeping_destination_of_two_endpoints_takes_less_than_600_bytes() -> None:
@@ -153,7 +181,13 @@
     relay.step(0, [roster(entry("h1")), api.Care("h1", 400 * SECOND)])
 
 
-@pytest.mark.parametrize("bind", [refused, out, held, lost, cared])
+def moved(relay: Relay) -> None:
+    """A call is out at an endpoint that belongs to another destination by now."""
+    out(relay)
+    relay.step(SECOND, [api.Roster(KIND.CHANGES, (entry("h1", dest=2),))])
+
+
+@pytest.mark.parametrize("bind", [refused, out, held, lost, cared, moved])
 def test_what_binds_is_not_slept_away(bind: Callable[[Relay], None]) -> None:
     """A told wait, a call, a held message, an outage, the care of a former life."""
     relay = Relay(settings(), 1)
