Pace large groups from equal parts and the share left; spread returns to a limit

What is refused uses the limit up: its share left lay at 0 for 2 to 3 s at a time while 12 to 19 calls a second pressed on it. Ruled out: CPU (0.5 s of 36), slots (1 of 6 busy), late ends (told and confirmed within 6 ms), clumps. At fault in brain.py: no pace before the first answer (Guard.pace infinite); _told gave each relay the whole rate while more than half was left; _fail's floor of a call in 3 s for each relay and host and its pause of at most once more the told wait; _part by own demand without a bound.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -34,8 +34,10 @@
 BURST_US = 400_000  # us of its rate that a paced limit may take at once
 LATE_SPREADS = 4.0  # spreads over the mean: a call older than this is overdue (about 1 in 50 if exponential)
 LIMIT_OVERDUES = 2.5  # time-out of a call that may be repeated, in times of the overdue age
-ROOM = 2.0  # the pace is the whole told rate while more than one in so many of it is left
-PACE_DOWN, PACE_UP = 0.8, 1.03  # pace factors: refused above a limit, and served
+ROOM = 2.0  # the least pace of one that is served is the first guess while more than one in so many is left
+PACE_DOWN, PACE_UP, UNTOLD_UP = 0.8, 1.03, 2.0  # pace factors: refused, served, no limit named
+FIRST_PARTS, LEAST_PART, MOST_PARTS = 2.0, 0.5, 2.0  # equal parts of a told rate: at first, least, by demand
+LEFT_AIM, TOLD_GAIN, TOLD_US = 0.5, 1.5, 1_500_000  # share left that keeps a pace; 1/s; longest step, us
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 PROVED_PART = 2  # one in so many of the time in which a cold server falls: calls at once behind a proof
 CARE_US, FURTHER = 30_000_000, 0.2  # us for which an outage is told to a later life; weight within a call
@@ -127,6 +129,9 @@
                 endpoint.follow(Listing.GONE, self.now)
                 self.dests[endpoint.dest].listed_anew()
         start = max(1, int(CAP_SHARE * self.set.slots))
+        # Until an answer tells of a limit: what the members may ask of all, spread evenly.
+        dests = self.dests.keys() | {entry.dest for entry in event.entries}
+        even = self.quotas * self._equal(FIRST_PARTS) / max(1, len(dests))
         later = event.later or (bool(self.endpoints) and event.kind is not RosterKind.AWAKE)
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
@@ -138,6 +143,8 @@
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
                 known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
                 known.start, known.quota = start, 1 if later else start
+                if known.limit.pace == math.inf and even:
+                    known.limit.pace, known.limit.pace_us = even, self.now
                 self.endpoints[entry.host] = dest.endpoints[entry.host] = known
             known.follow(entry.listing, self.now)
             dest.listed_anew()
@@ -189,15 +196,32 @@
         return bool(self.wired) or any(message.dest == number for message in self.messages.values())
 
     def _told(self, limit: Guard, rate: float | None, left: float | None = None) -> None:
-        """A rate told for all relays bounds the pace; the share of it that is left shows what others use."""
-        if rate and 0 < rate < math.inf:
-            if not limit.rate:  # a first guess: what the group's equal parts leave to one that is busy
-                limit.pace, limit.pace_us = rate * min(1.0, 2 / self.set.group_size ** 0.5), self.now
-            limit.rate = rate
-            pace = self._pace(limit)
-            if left is not None and 0 <= left <= 1:  # fresh news only: a slowed pace grows again by itself
-                told = max(rate / self.set.group_size, min(1.0, ROOM * left) * rate)
-                limit.pace = told if told < pace or not limit.strikes else pace
+        """A rate told for all relays bounds the pace; the share of it that is left shows what others use.
+
+        All that share the limit are told alike. So each moves its pace from its equal part by the same factor
+        for the same news, and the sum of them settles where some of the limit is left.
+        """
+        if not (rate and 0 < rate < math.inf):
+            if not limit.rate:  # an answer that names no limit: there may be none
+                limit.pace = self._pace(limit) * UNTOLD_UP
+            return
+        if left is not None and not 0 <= left <= 1:
+            left = None
+        if not limit.rate:
+            # Where nothing tells what the others use, one that is busy may take more than its equal part.
+            parts = FIRST_PARTS * (1.0 if left is not None else self.set.group_size ** 0.5)
+            limit.pace, limit.pace_us = rate * self._equal(parts), self.now
+        limit.rate = rate
+        if left is not None and (rate, left) != limit.told:  # fresh news only
+            age_s = min(self.now - limit.told_us, TOLD_US) / 1e6
+            pace = self._pace(limit) * math.exp(TOLD_GAIN * (left - LEFT_AIM) * age_s)
+            least = rate * self._equal(LEAST_PART if limit.strikes else FIRST_PARTS * min(1.0, ROOM * left))
+            limit.pace = min(rate, max(least, pace))
+            limit.told, limit.told_us = (rate, left), self.now
+
+    def _equal(self, parts: float) -> float:
+        """So many equal parts of what the group shares, and at most the whole."""
+        return min(1.0, parts / self.set.group_size)
 
     def _arrive(self, event: Arrival) -> None:
         if (cls := self.classes.get(event.cls)) is None or event.id in self.messages:
@@ -404,9 +428,9 @@
         if sent_us > guard.strike_us or not guard.strikes:
             guard.strikes, guard.strike_us, guard.refused = guard.strikes + 1, self.now, refused
             if refused:  # a told rate may hold no more, or others use it up: fall to half of what is served
-                part = self._part(endpoint, guard)
-                pace = PACE_DOWN * min(self._pace(guard), part)
-                guard.pace = max(pace, 0.5 * guard.served.rate(self.now), 1e6 / RETRY_MAX_US)
+                least = min(1e6 / RETRY_MAX_US, LEAST_PART * guard.rate * self._equal(1) or math.inf)
+                pace = PACE_DOWN * min(self._pace(guard), self._part(endpoint, guard))
+                guard.pace = max(pace, 0.5 * guard.served.rate(self.now), least)
             if guard.strikes > 1 and (not refused or guard.cold_us >= 0 or not beside):
                 self._care(endpoint, CARE_US)
             if guard.strikes == 3:
@@ -422,6 +446,10 @@
             bears = self.set.fall_multiple * self.set.cold_from * self._part(endpoint, guard)
             gap_us = max(gap_us, 1e6 / bears)
         start_us = max(self.now, guard.wait_us)
+        if refused and guard.told_us > 0:
+            # What a limit refuses uses it up too: all that come back at their waits' ends keep it used up. At
+            # its lowered pace, and no two alike, each comes back late enough for the group to fit.
+            guard.next_us = max(guard.next_us, start_us + int(2e6 / guard.pace * self.rng.random()))
         if sore or guard.strikes > 1 or not beside:
             guard.next_us = max(guard.next_us, start_us + int(gap_us * self.rng.uniform(0.3, 1.3)))
         else:  # all that were told to wait would come back at once
@@ -436,7 +464,9 @@
     def _part(self, endpoint: Endpoint, guard: Guard) -> float:
         """This relay's part of the calls a second there: an equal one, or by its own demand."""
         limit = endpoint.limit
-        part = max(limit.rate / self.set.group_size, limit.demand.rate(self.now), 1e-3)
+        part = max(limit.rate * self._equal(1), limit.demand.rate(self.now), 1e-3)
+        if limit.rate:  # what all ask for together may be far more than there is
+            part = min(part, limit.rate * self._equal(MOST_PARTS))
         return part / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
 
     def _space(self, endpoint: Endpoint, guard: Guard, part: float = 1.0) -> None:
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -51,10 +51,11 @@
     def __init__(self, memory_us: int) -> None:
         self.strikes, self.strike_us, self.refused = 0, 0, False  # failures in a row; of the last
         self.ok_us, self.cold_us = -(1 << 60), -1  # last success; when a cold return began (-1: warm)
-        self.wait_us, self.next_us = 0, 0  # told to wait until; own pause until
+        self.wait_us, self.next_us = 0, -(1 << 60)  # told to wait until; own pause until
         self.spaced_us = 0  # while cold: when it bears the next call
         self.proved_us = -(1 << 60)  # when an error told last that an outage was not over
         self.rate, self.pace, self.pace_us = 0.0, math.inf, 0  # calls/s: told for all (0: not); own pace
+        self.told, self.told_us = (0.0, 0.0), -(1 << 60)  # rate and share left as told last; when
         self.demand, self.served = Tally(memory_us), Tally(memory_us)  # own messages that came, own successes
 
     @property
