Spread asks of the directory over the group, slow its paces, keep idle connections

Between 16.5 and 24.8 s nobody was served, and some held a list with hosts long gone for 16 s. At fault: the gap in _roster (0.5 s, at most 2.5 s, 30% of spread). - While destinations of one floor refused connections, 300 to 740 idle connections were closed in 2 s, at all hosts. At fault: crowd in _outcome took each refused connection for a full table. - The first news of a limit raised a relay's pace to three times its equal part, and every pace moved as if it were alone. Ruled out: refusals taken for outages (no gain when they are no strikes), pace by what is held, longer pauses.

Change: asks spread over 0.1 s for each relay of the group; a full table is one of a host that has served; a limit begins at an equal part, and paces move by the root of the group's size slower.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -36,10 +36,13 @@
 LIMIT_OVERDUES = 2.5  # time-out of a call that may be repeated, in times of the overdue age
 ROOM = 2.0  # the least pace of one that is served is the first guess while more than one in so many is left
 PACE_DOWN, PACE_UP, UNTOLD_UP = 0.8, 1.03, 2.0  # pace factors: refused, served, no limit named
-FIRST_PARTS, LEAST_PART, MOST_PARTS = 2.0, 0.5, 2.0  # equal parts of a told rate: at first, least, by demand
-LEFT_AIM, TOLD_GAIN, TOLD_US = 0.5, 1.5, 1_500_000  # share left that keeps a pace; 1/s; longest step, us
+PACE_US = 6_000_000  # us in which the pace of one alone grows by a factor of e by itself
+FIRST_PARTS, LEAST_PART, MOST_PARTS = 1.0, 0.5, 2.0  # equal parts of a told rate: at first, least, by demand
+BUSY_PARTS = 2.0  # at first where nothing tells what the others use, times the root of the group's size
+LEFT_AIM, TOLD_GAIN, TOLD_US = 0.5, 2.0, 1_500_000  # share left that keeps a pace; 1/s; longest step, us
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 PROVED_PART = 2  # one in so many of the time in which a cold server falls: calls at once behind a proof
+ASK_GAP_US, ASK_EACH_US = 500_000, 100_000  # us before a failed ask is repeated, at first; for each relay
 CARE_US, FURTHER = 30_000_000, 0.2  # us for which an outage is told to a later life; weight within a call
 NEVER_US = 1 << 62
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
@@ -70,7 +73,11 @@
         self.stale_us, self.crowd = float(settings.keepalive_us), Tally(MEMORY_US)  # crowd: no connection
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
-        self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), 500_000  # next ask; its gap
+        # The more share a limit, the less often each hears of it: paces move the slower.
+        self.slow = settings.group_size ** 0.5
+        # A group's asks wait for each other: all at once are all late, and those given up are worked off too.
+        self.crowded_us = max(0, ASK_EACH_US * settings.group_size - ASK_GAP_US)
+        self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), ASK_GAP_US  # next ask; its gap
         self.forget_us = 0  # when to look next for what is gone
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
@@ -117,11 +124,15 @@
         """Follow the directory; where it must be asked, a failed or broken watch is asked for again."""
         if event.kind is RosterKind.FAILED:
             if self.set.must_ask:
-                self.ask_us = self.now + int(self.ask_gap_us * self.rng.uniform(0.7, 1.3))
-                self.ask_gap_us = min(2 * self.ask_gap_us, max(500_000, self.set.ask_within_us // 4))
+                gap_us = self.ask_gap_us * self.rng.uniform(0.7, 1.3) + self.crowded_us * self.rng.random()
+                self.ask_us = self.now + int(gap_us)
+                most_us = max(ASK_GAP_US, self.set.ask_within_us // 4, 2 * self.crowded_us)
+                self.ask_gap_us = min(2 * self.ask_gap_us, most_us)
             return
         if event.kind in (RosterKind.CHANGES, RosterKind.WHOLE):
-            self.ask_us, self.ask_gap_us = -1, 500_000
+            self.ask_us, self.ask_gap_us = -1, ASK_GAP_US
+        elif self.ask_us == 0:  # the first list, perhaps an old one: many may have started just now
+            self.ask_us = self.now + int(self.crowded_us * self.rng.random())
         named = {entry.host for entry in event.entries}
         whole = event.kind in (RosterKind.WHOLE, RosterKind.CACHED)
         for host, endpoint in self.endpoints.items() if whole else ():
@@ -131,7 +142,7 @@
         start = max(1, int(CAP_SHARE * self.set.slots))
         # Until an answer tells of a limit: what the members may ask of all, spread evenly.
         dests = self.dests.keys() | {entry.dest for entry in event.entries}
-        even = self.quotas * self._equal(FIRST_PARTS) / max(1, len(dests))
+        even = self.quotas * self._equal(MOST_PARTS) / max(1, len(dests))
         later = event.later or (bool(self.endpoints) and event.kind is not RosterKind.AWAKE)
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
@@ -207,18 +218,22 @@
             return
         if left is not None and not 0 <= left <= 1:
             left = None
-        if not limit.rate:
-            # Where nothing tells what the others use, one that is busy may take more than its equal part.
-            parts = FIRST_PARTS * (1.0 if left is not None else self.set.group_size ** 0.5)
+        if not limit.rate:  # where nothing tells what the others use, one that is busy may take more
+            parts = self._first(left) if left is not None else BUSY_PARTS * self.slow
             limit.pace, limit.pace_us = rate * self._equal(parts), self.now
         limit.rate = rate
         if left is not None and (rate, left) != limit.told:  # fresh news only
-            age_s = min(self.now - limit.told_us, TOLD_US) / 1e6
-            pace = self._pace(limit) * math.exp(TOLD_GAIN * (left - LEFT_AIM) * age_s)
-            least = rate * self._equal(LEAST_PART if limit.strikes else FIRST_PARTS * min(1.0, ROOM * left))
+            age_s = min(self.now - limit.told_us, TOLD_US) / 1e6 if limit.told_us > 0 else 0.0
+            pace = self._pace(limit) * math.exp(TOLD_GAIN / self.slow * (left - LEFT_AIM) * age_s)
+            least = rate * self._equal(LEAST_PART if limit.strikes else self._first(left))
             limit.pace = min(rate, max(least, pace))
             limit.told, limit.told_us = (rate, left), self.now
 
+    def _first(self, left: float) -> float:
+        """Equal parts of a limit that one which is served begins with; of two relays, one may have it all."""
+        size = self.set.group_size
+        return max(LEAST_PART, FIRST_PARTS * size / max(1, size - 1) * min(1.0, ROOM * left))
+
     def _equal(self, parts: float) -> float:
         """So many equal parts of what the group shares, and at most the whole."""
         return min(1.0, parts / self.set.group_size)
@@ -308,7 +323,9 @@
             if verdict not in (Verdict.CANCELLED, Verdict.NOT_SENT):
                 self._learn(call, message, event)
             # Many relays' idle connections fill a small table: close one that will hardly serve again.
-            self.crowd.add(verdict is Verdict.CONNECT_FAILED, self.now)
+            # What has never served, or keeps failing, is down, and its table is not full.
+            own, refused = endpoint.own, verdict is Verdict.CONNECT_FAILED
+            self.crowd.add(refused and own.ok_us >= 0 and own.strikes < 2, self.now)
             rare = self._part(endpoint, endpoint.own) * self.set.keepalive_us < 1e6
             if not endpoint.calls and (rare or self.crowd.share(self.now) > LOW_MARK):
                 self.actions.append(CloseIdle(endpoint.host))
@@ -457,7 +474,8 @@
 
     def _pace(self, limit: Guard) -> float:
         """This relay's pace at a limit; it grows with time, and faster with successes."""
-        grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / MEMORY_US))
+        in_us = PACE_US * self.slow if limit.told_us > 0 else MEMORY_US
+        grown = limit.pace * math.exp(min(50.0, (self.now - limit.pace_us) / in_us))
         limit.pace, limit.pace_us = min(grown, limit.rate or math.inf), self.now
         return limit.pace
 
