Count destinations for the first pace without a set of all; drop unused fleet options

Seen when reading once more: each piece of roster news, also a single destination that wakes, built a set of all destinations for the first pace; and tests/fleet.py had restarts, outages, shares and tallies that no test uses, and an assertion that cannot fail.

Change: only the destinations that are new in the news are looked at; what nobody uses is gone.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -143,8 +143,8 @@
                 self.dests[endpoint.dest].listed_anew()
         start = max(1, int(CAP_SHARE * self.set.slots))
         # Until an answer tells of a limit: what the members may ask of all, spread evenly.
-        dests = self.dests.keys() | {entry.dest for entry in event.entries}
-        even = self.quotas * self._equal(MOST_PARTS) / max(1, len(dests))
+        fresh = {entry.dest for entry in event.entries if entry.dest not in self.dests}
+        even = self.quotas * self._equal(MOST_PARTS) / max(1, len(self.dests) + len(fresh))
         later = event.later or (bool(self.endpoints) and event.kind is not RosterKind.AWAKE)
         for entry in event.entries:
             dest = self.dests.setdefault(entry.dest, Destination(Guard(MEMORY_US)))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -43,12 +43,9 @@
     old_us: int = 150_000  # how old that is when it is told
     wait_us: int = 700_000  # the wait that most refusals tell
     lowered: tuple[int, int, float] = (0, 0, 1.0)  # from, until (us), to which share of the rate
-    down: tuple[int, int] = (0, 0)  # from, until (us): no connection comes up
     at_us: int = -1
     tokens: float = 0.0
     told: list[tuple[int, float, float]] = field(default_factory=list)  # when it may be told, left, rate
-    asked: int = 0
-    counts: Counter[str] = field(default_factory=Counter)
 
     def allowed(self, now_us: int) -> float:
         """Calls a second just now."""
@@ -69,14 +66,10 @@
 
     def call(self, now_us: int, rng: random.Random) -> tuple[api.Verdict, int]:
         """One call: how it ends, and the wait that it tells."""
-        if self.down[0] <= now_us < self.down[1]:
-            self.counts["down"] += 1
-            return api.Verdict.CONNECT_FAILED, 0
         self._refill(now_us)
         taken = self.tokens >= 1
         # What is refused uses the limit up too, and leaves a debt: a host that is pressed on serves nobody.
         self.tokens = max(-self._size(now_us) / 2, self.tokens - 1)
-        self.counts["ok" if taken else "full"] += 1
         if not self.told or now_us - self.told[-1][0] >= self.report_us:
             self.told.append((now_us, max(0.0, self.tokens / self._size(now_us)), self.allowed(now_us)))
         if taken:
@@ -96,7 +89,6 @@
 
     calls: Counter[str] = field(default_factory=Counter)  # by how they ended
     ended: Counter[str] = field(default_factory=Counter)  # messages: in time, late, refused, failed
-    sent: list[tuple[int, int, str]] = field(default_factory=list)  # when, by which relay, to which host
 
     @property
     def served(self) -> float:
@@ -120,10 +112,9 @@
         relays: int = 40,
         seed: int = 1,
         make: Callable[[api.Settings, int], Relay] = Relay,
-        parts: list[float] | None = None,
         **changes: object,
     ) -> None:
-        """``demand``: messages a second by destination, over all relays; ``parts``: how relays share it."""
+        """``demand``: messages a second by destination, over all relays."""
         quota = sum(demand.values())
         changes = {
             "classes": (STATUS, POSTING), "kinds": KINDS, "tenants": (api.Tenant("all", quota),), "slots": 6,
@@ -132,11 +123,11 @@
         } | changes
         self.set, self.seed, self.make = settings(**changes), seed, make
         self.hosts, self.demand, self.rng = {h.name: h for h in hosts}, demand, random.Random(seed)
-        self.parts = parts or [self.rng.uniform(0.5, 1.5) for _ in range(relays)]
+        self.parts = [self.rng.uniform(0.5, 1.5) for _ in range(relays)]
         self.relays = [make(self.set, seed * 1000 + i) for i in range(relays)]
         self.heap: list[tuple[int, int, int, api.Event]] = []
-        self.serial, self.lives, self.next_us = 0, [0] * relays, [0] * relays
-        self.due: dict[str, tuple[int, int]] = {}  # open messages: when wanted, and when given up
+        self.serial = 0
+        self.due: dict[str, int] = {}  # open messages, and when they are wanted
         self.tries: Counter[str] = Counter()
         self.tallies = Tallies()
 
@@ -149,7 +140,6 @@
         self._put(at_us, relay, roster(*entries, kind=api.RosterKind.CACHED))
 
     def _arrivals(self, until_us: int) -> None:
-        whole = sum(self.parts)
         for dest, rate in self.demand.items():
             at_s = 0.0
             while (at_s := at_s + self.rng.expovariate(rate)) * 1e6 < until_us:
@@ -157,46 +147,31 @@
                 relay = self.rng.choices(range(len(self.parts)), self.parts)[0]
                 name = f"m{self.serial}"
                 self._put(int(at_s * 1e6), relay, api.Arrival(name, dest, cls.name, cls.deadline_us, "all"))
-        assert whole > 0
 
-    def play(self, length_s: float, restarts: dict[int, list[int]] | None = None) -> Tallies:
-        """Run for so long and until all is answered; ``restarts``: which relays start anew, by time (us)."""
+    def play(self, length_s: float) -> Tallies:
+        """Run for so long and until all is answered."""
         until_us = int(length_s * 1e6)
         for relay in range(len(self.relays)):
             self._listed(relay, 0)
         self._arrivals(until_us)
-        anew = sorted((restarts or {}).items())
         while self.heap and (self.due or self.heap[0][0] <= until_us):
-            at_us = self.heap[0][0]
-            while anew and anew[0][0] <= at_us:
-                for relay in anew.pop(0)[1]:
-                    self._restart(relay, at_us)
             at_us, _, relay, event = heapq.heappop(self.heap)
             self._feed(at_us, relay, event)
         return self.tallies
 
-    def _restart(self, relay: int, at_us: int) -> None:
-        self.lives[relay] += 1
-        self.relays[relay] = self.make(self.set, self.seed * 1000 + relay + 500 * self.lives[relay])
-        kept = [item for item in self.heap if item[2] != relay or isinstance(item[3], api.Arrival)]
-        heapq.heapify(kept)
-        self.heap = kept
-        self.due = {name: due for name, due in self.due.items() if due[1] != relay}
-        self._listed(relay, at_us)
-
     def _feed(self, at_us: int, relay: int, event: api.Event) -> None:
         if isinstance(event, api.Arrival):
             cls = STATUS if event.cls == STATUS.name else POSTING
-            self.due[event.id] = (at_us + cls.aim_us, relay)
+            self.due[event.id] = at_us + cls.aim_us
         if isinstance(event, api.Outcome) and event.complete and event.id in self.due:
-            wanted_us, _ = self.due.pop(event.id)
+            wanted_us = self.due.pop(event.id)
             self.tallies.ended["in time" if at_us <= wanted_us else "late"] += 1
         calls: dict[str, list[api.Send]] = {}
         for action in self.relays[relay].step(at_us, [event]):
             if isinstance(action, api.Send):
                 calls.setdefault(action.host, []).append(action)
             elif isinstance(action, api.Refuse | api.Fail):
-                if self.due.pop(action.id, None):
+                if self.due.pop(action.id, None) is not None:
                     self.tallies.ended["refused" if isinstance(action, api.Refuse) else "failed"] += 1
             elif isinstance(action, api.Wake):
                 self._put(at_us + action.delay_us, relay, api.TimerDue())
@@ -208,9 +183,8 @@
         for start in range(0, len(sends), batch):
             verdict, wait_us = host.call(at_us, self.rng)
             self.tallies.calls[verdict.value] += 1
-            self.tallies.sent.append((at_us, relay, host.name))
             took_us = int(self.rng.uniform(20_000, 60_000)) + (verdict is api.Verdict.OK) * 30_000
-            left, rate = host.report(at_us) if verdict is not api.Verdict.CONNECT_FAILED else (None, None)
+            left, rate = host.report(at_us)
             for send in sends[start : start + batch]:
                 number = self.tries[send.id]
                 self.tries[send.id] += 1
