Console with ready and metrics; each end, write and file counted once

Change: mallowlug/console (calls.py decides without sockets, server.py listens: one call to a connection, llhttp, 1/16 of the descriptors, 5 s for a call, the oldest caller goes first), core/figures.py (one place that counts), core/desk.py (what one process says of itself). Partners tell how many messages were written whole; listings how many hosts are listed; the module which it avoids.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -7,10 +7,12 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from mallowlug import config
 from mallowlug.core.clock import clock_of
+from mallowlug.core.desk import Desk
+from mallowlug.core.figures import Figures
 from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList
@@ -22,9 +24,13 @@
 from mallowlug.partners.http_calls import Hosts
 from mallowlug.system import System
 
+if TYPE_CHECKING:
+    from mallowlug.console.server import Console
+
 LOG = logging.getLogger("mallowlug")
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
+CALLERS = 16  # one descriptor in so many is for the console's callers
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
@@ -61,6 +67,9 @@
     known, cfg = cfg.known, replace(cfg, known=HostList(cfg.known.seq, True, ()))
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[int] = loop.create_future()
+    figures = Figures(cls.name for cls in cfg.settings.classes)
+    desk = Desk(figures)
+    console = await open_console(cfg, desk, system)
     journal = Journal(cfg.state, cfg.disk_bytes, system.disk, extras.durable)
 
     def crashed(_error: BaseException) -> None:
@@ -74,6 +83,7 @@
         plugs=plugs_of(cfg, system),
         clock=clock_of(system, cfg.state, loop.time),
         listings=Listings(extras.awake, extras.rest_s),
+        figures=figures,
         crashed=crashed,
     )
     fronts = fronts_of(cfg, extras, driver, system)
@@ -81,17 +91,21 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     # Until the process is gone, also while it shuts down: a signal without a handler would end it.
-    loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg, system)
+    loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg, system, figures)
     driver.start(known)
+    desk.driver = driver
     del known  # with many destinations it is by far the largest thing here
     for front in fronts:
         await front.start()
     LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
-    stop = loop.create_task(shut_down(terminated, driver, fronts))
+    desk.serving = True
+    stop = loop.create_task(shut_down(terminated, driver, fronts, desk))
     both: set[asyncio.Future[Any]] = {stop, ended}
     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
     for front in fronts:
         front.close()
+    if console is not None:
+        console.close()
     driver.close()
     journal.close()
     if ended.done():
@@ -100,7 +114,19 @@
     return 0
 
 
-def reload(driver: Driver, started: config.Config, system: System) -> None:
+async def open_console(cfg: config.Config, desk: Desk, system: System) -> Console | None:
+    """Listen for on-call staff, before all that takes time; imported only where it is asked for."""
+    if cfg.console is None:
+        return None
+    from mallowlug.console.server import Console  # noqa: PLC0415
+
+    console = Console(desk, cfg.console, cfg.sockets // CALLERS, system)
+    await console.start()
+    LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
+    return console
+
+
+def reload(driver: Driver, started: config.Config, system: System, figures: Figures) -> None:
     """SIGHUP: read the file again and go to the discovery that it names; what cannot be used changes nothing.
 
     The rest of the file binds journal, limits and the module's memory, and counts from the next start.
@@ -109,14 +135,16 @@
         cfg = config.load(system, reloading=True)
     except config.ConfigError as error:
         LOG.error("SIGHUP: the old configuration stays: %s", error)
+        figures.invalid += 1
         return
+    figures.loaded += 1
     LOG.info("SIGHUP: discovery at %s:%d", *cfg.discovery)
     if (cfg.settings, cfg.listen) != (started.settings, started.listen):
         LOG.warning("SIGHUP: changed settings and addresses other than discovery's wait for the next start")
     driver.move(cfg.discovery)
 
 
-async def shut_down(terminated: asyncio.Event, driver: Driver, fronts: list[Front]) -> None:
+async def shut_down(terminated: asyncio.Event, driver: Driver, fronts: list[Front], desk: Desk) -> None:
     """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
 
     A connection that ends with a request unanswered loses a message. So connections are closed while the
@@ -124,6 +152,7 @@
     """
     await terminated.wait()
     LOG.info("SIGTERM: shutting down")
+    desk.serving = False
     start_s = asyncio.get_running_loop().time()
     driver.shut_down(start_s + LAST_S)
 
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -39,6 +39,7 @@
     memory_bytes: int
     sockets: int
     known: HostList
+    console: Address | None = None  # where on-call staff and their tools call
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +139,7 @@
     try:
         raw = msgspec.json.decode(system.disk.read(Path(environ["ROUTER_CONFIG"])))
         pairs = dict(flatten(raw["settings"]))
-        limits = raw.get("limits", {})
+        limits, console = raw.get("limits", {}), environ.get("ROUTER_CONSOLE") or raw.get("console")
         return Config(
             name=environ.get("ROUTER_NAME") or str(raw["name"]),
             listen=address_of(environ.get("ROUTER_LISTEN") or raw["listen"]),
@@ -151,6 +152,7 @@
             memory_bytes=int(float(limits.get("memory_mb", 64)) * 1_000_000),
             sockets=int(limits.get("sockets", 1024)),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
+            console=address_of(console) if console else None,
             discovery=discovery_of(system, raw, reloading),  # last: what cannot be used leaves no mark
         )
     except KeyError as error:
--- a/mallowlug/core/listings.py
+++ b/mallowlug/core/listings.py
@@ -40,6 +40,7 @@
     def __init__(self, awake: int, rest_s: float) -> None:
         self._most, self._rest_s = awake, rest_s
         self._rows: dict[int, bytes] = {}  # by destination: its endpoints
+        self.hosts = 0  # endpoints that are listed, of all destinations
         self._awake: OrderedDict[int, float] = OrderedDict()  # by when they were used last (s)
 
     def __contains__(self, dest: int) -> bool:
@@ -64,7 +65,7 @@
             changed.setdefault(listed.entry.dest, {})[listed.entry.host] = listed
         if news.whole:
             for dest in [dest for dest in self._rows if dest not in changed]:
-                del self._rows[dest]
+                self.hosts -= len(ROWS.decode(self._rows.pop(dest)))
         for dest, hosts in changed.items():
             self._take(dest, hosts, news.whole, later)
         for dest in changed:
@@ -82,6 +83,7 @@
             rows.pop(host, None)
             if listed.entry.listing is not Listing.GONE:
                 rows[host] = row_of(listed, former[host][-1] if host in former else later)
+        self.hosts += len(rows) - len(former)
         if rows:
             self._rows[dest] = pack(list(rows.values()))
         else:
--- a/mallowlug/core/ports.py
+++ b/mallowlug/core/ports.py
@@ -77,6 +77,10 @@
     def busy(self) -> bool:
         """Whether a call is out."""
 
+    @property
+    def written(self) -> int:
+        """Messages whose calls were written whole, since the start."""
+
     def apply(self, news: HostList) -> None:
         """Follow the list at once."""
 
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from mallowlug.core.clock import Clock
+from mallowlug.core.figures import Figures, Now
 from mallowlug.core.journal import Attempt, Journal, JournalFullError, Recovered
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import (
@@ -63,9 +64,10 @@
         plugs: Plugs,
         clock: Clock,
         listings: Listings,
+        figures: Figures,
         crashed: Callable[[BaseException], None],
     ) -> None:
-        self._set, self._journal, self._crashed = settings, journal, crashed
+        self._set, self._journal, self._crashed, self._figures = settings, journal, crashed, figures
         self.clock, self._now_s = clock, asyncio.get_running_loop().time
         self._module = Module(settings, seed)
         self._partners = plugs.partners(self._settled, self._released)
@@ -81,6 +83,7 @@
         self._classes = {cls.name: cls for cls in settings.classes}
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
         self._listings = listings
+        self.listed = False  # whether a list is known, be it an old one
         self._rest: asyncio.TimerHandle | None = None  # when idle destinations are asked to sleep
 
     def start(self, known: HostList) -> None:
@@ -129,7 +132,20 @@
         """A refusal at the door, with when to come back."""
         return Refused(self._set.max_retry_after_us // 1000)
 
+    @property
+    def now(self) -> Now:
+        """What a scrape reads."""
+        size = self._listings.hosts
+        return Now(self._partners.written, len(self._held), size, min(size, self._module.avoided()))
+
     def hand_in(self, handed: Handed, body: bytes) -> Answer:
+        """Take a message on, or say why not; what is not taken on has ended here."""
+        answer = self._take_on(handed, body)
+        if not isinstance(answer, Taken):
+            self._figures.ended(handed.cls, "deferred" if isinstance(answer, Refused) else "errored")
+        return answer
+
+    def _take_on(self, handed: Handed, body: bytes) -> Answer:
         """Take a message on, journaled, or say why not; then nothing was kept.
 
         An id that is known is the same request once more, on a new connection: it is taken on already. A
@@ -198,6 +214,7 @@
     def _listed(self, news: HostList, kind: api.RosterKind | None = None) -> None:
         """News of the list binds calls at once and the module with its next step."""
         heard = self._listings.follow(news, self._now_s())
+        self.listed |= kind is None or len(self._listings) > 0
         kind = kind or (api.RosterKind.WHOLE if news.whole else api.RosterKind.CHANGES)
         self._tell(heard, kind)
 
@@ -231,7 +248,7 @@
         """An attempt is over: journal what it proves, then tell the module."""
         complete = told.complete
         if complete:
-            self._end(part.id)
+            self._end(part.id, told.verdict is api.Verdict.OK)
         elif told.verdict.never_ran:
             self._journal.never_ran(part.id, part.attempt)
         self._post(
@@ -255,13 +272,14 @@
         """Nothing of an attempt that had its outcome before is on the wire any more."""
         self._post(api.Released(part.id, part.attempt))
 
-    def _end(self, ref: str) -> bool:
-        """Nothing more is owed; False where that was so before."""
-        if self._held.pop(ref, None) is None:
-            return False
+    def _end(self, ref: str, delivered: bool) -> None:
+        """Nothing more is owed, unless that was so before."""
+        if (held := self._held.pop(ref, None)) is None:
+            return
+        if delivered:
+            self._figures.ended(held.handed.cls, "answered")
         self._journal.over(ref)
         self._remember(ref)
-        return True
 
     def _remember(self, ref: str) -> None:
         self._over[ref] = None
@@ -362,6 +380,7 @@
         if (held := self._held.pop(notice.ref, None)) is None:
             return []
         kept = self._journal.end(notice.ref, notice.result, notice.wait_ms)
+        self._figures.ended(held.handed.cls, "deferred" if notice.result == "bounced" else "errored")
         self._remember(notice.ref)
         return [(notice, kept or self._classes[held.handed.cls].effect is api.Effect.SAFE)]
 
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -145,6 +145,7 @@
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
+        self.written = 0
         self.exchanges: dict[Exchange, None] = {}  # in order, so that what is given up goes in order too
 
     def apply(self, news: HostList) -> None:
@@ -302,6 +303,7 @@
             return self._keep(host, connection)
         exchange.sent = parts
         await connection.send(request_of(connection, parts))
+        self.written += len(parts)
         answer = await connection.answer()
         wait_us, report = wait_of(answer), report_of(answer)
         if wait_us:
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -195,6 +195,11 @@
             self.look.pop(number, None)
         self.actions.append(Asleep(number))
 
+    def avoided(self) -> int:
+        """Endpoints that nothing new is sent to now: they drain, or an outage pauses them."""
+        return sum(e.listing is Listing.DRAINING or self._ill(e) for e in self.endpoints.values()
+                   if e.listing is not Listing.GONE)  # fmt: skip
+
     def _until_us(self, endpoint: Endpoint) -> int:
         """When no wait, pause or cold return binds there any more."""
         return max(max(g.clear_us, g.cold_us + self.set.warm_within_us) for g in endpoint.guards)
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,167 @@
+"""Every figure against what the peers saw, and the format against an independent parser."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from mallowlug.core.figures import Figures, Now
+from tests.world import Reply, Request, World, called, delivered, enqueue, packed, silent, soon
+
+Samples = dict[tuple[str, str, str], float]
+
+
+def parsed(text: str) -> Samples:
+    """Samples by name, group and state."""
+    found: Samples = {}
+    for family in text_string_to_metric_families(text):
+        assert family.documentation and family.type in ("counter", "gauge")
+        for sample in family.samples:
+            key = sample.name, sample.labels.get("group", ""), sample.labels.get("state", "")
+            assert key not in found
+            found[key] = sample.value
+    return found
+
+
+def test_the_format_holds_for_any_name_of_a_class() -> None:
+    odd = 'a"b\\c\nd'
+    figures = Figures(["plain", odd])
+    figures.ended(odd, "errored")
+    figures.ended("nobody knows it", "answered")
+    samples = parsed(figures.text(Now(7, 3, 2, 1)))
+    assert samples["relay_transactions_total", odd, "errored"] == 1
+    assert samples["relay_transactions_total", "plain", "answered"] == 0
+    assert samples["relay_sends_total", "", ""] == 7
+    assert samples["relay_current", "", ""] == 3
+    assert samples["relay_cluster_size", "", ""] == 2
+    assert samples["relay_cluster_unhealthy", "", ""] == 1
+    assert not any(group == "nobody knows it" for _, group, _ in samples)
+
+
+def test_classes_without_end_do_not_grow_the_process() -> None:
+    figures = Figures(["first"])
+    for number in range(10_000):
+        figures.know([f"c{number}"])
+    assert len(figures.ends) <= 3 * 65
+
+
+async def scraped(port: int) -> Samples:
+    """The relay's figures now."""
+    status, text = await called(port, "GET", "/metrics")
+    assert status == 200
+    return parsed(text)
+
+
+def differences(samples: Samples, saw: Samples) -> list[str]:
+    """Figures that are not what the peers saw."""
+    return [f"{key}: {samples.get(key)}, saw {want}" for key, want in saw.items() if samples.get(key) != want]
+
+
+def test_a_double_count_and_a_miss_are_found() -> None:
+    """The comparison that the test below rests on can fail."""
+    key = ("relay_sends_total", "", "")
+    figures = Figures(["safe"])
+    for planted in (2, 0):
+        assert differences(parsed(figures.text(Now(planted, 0, 0, 0))), {key: 1.0})
+    assert differences(parsed(figures.text(Now(1, 0, 0, 0))), {key: 1.0}) == []
+
+
+def failing(status: int) -> Reply:
+    """A reply that delivers nothing."""
+
+    def reply(request: Request) -> None:
+        request.answer(status)
+
+    return reply
+
+
+async def test_mixed_ends_are_counted_as_the_peers_saw_them(world: World) -> None:
+    """Refused at the door, handed back, timed out, repeated, a batch partly refused, a client that left."""
+    world.settings["allowed"]["open_cap"] = 12
+    first = await world.add("h1")
+    bank = await world.add("b1", silent, kind="banks", block=2)
+    world.known = list(world.directory.hosts.values())
+    world.name(3)
+    port = world.open_console()
+    client = await world.run()
+    first.script.extend(map(failing, (503, 500)))
+    for number in range(3):  # the first of them is repeated twice
+        assert await client.hand_in(f"s{number}") == b"+OK"
+        await first.until(lambda n=number: len(first.seen) == 3 + n)
+    first.script.append(failing(500))
+    assert await client.hand_in("u1", "unsafe") == b"+OK"  # may have run: failed
+    assert (await world.directory.notice("u1"))["result"] == "dead"
+    assert await client.hand_in("w1", dest=3, d=60) in (b"+OK", b"-BUSY 2000")
+    assert await client.command(b"ENQUEUE", b"0", b"k1", b"c=keyed,d=900,dest=1", b"") == b"-ERR k is missing"
+    gone = await world.client()
+    gone.writer.close()
+    assert await client.hand_in("x1", "nobody") == b"-ERR unknown class"
+
+    def partly(request: Request) -> None:
+        bank.default = delivered
+        ends = ["delivered"] + ["refused"] * (len(request.ids) - 1)
+        request.answer(200, "".join(f"{ref} {end}\r\n" for ref, end in zip(request.ids, ends, strict=True)))
+
+    bank.default = partly
+    client.writer.write(b"".join(packed(*enqueue(f"b{n}", "keyed", dest=2)) for n in range(4)))
+    for _ in range(4):
+        assert (await soon(client.reader.readline())) == b"+OK\r\n"
+    await bank.until(lambda: sum(len(request.ids) for request in bank.seen) == 7)
+
+    def saw() -> Samples:
+        calls = [ref for host in world.hosts.values() for request in host.seen for ref in request.ids]
+        return {
+            ("relay_sends_total", "", ""): float(len(calls)),
+            ("relay_transactions_total", "safe", "answered"): 3.0,
+            ("relay_transactions_total", "safe", "deferred"): 1.0,
+            ("relay_transactions_total", "unsafe", "errored"): 1.0,
+            ("relay_transactions_total", "keyed", "answered"): 4.0,
+            ("relay_transactions_total", "keyed", "errored"): 1.0,
+            ("relay_current", "", ""): 0.0,
+            ("relay_cluster_size", "", ""): 3.0,
+        }
+
+    async def agreed() -> None:
+        while found := differences(await scraped(port), saw()):
+            await asyncio.sleep(0.02)
+        assert found == []
+
+    await soon(agreed())
+
+
+async def test_messages_of_a_former_life_are_counted_where_they_end(world: World) -> None:
+    world.name(1)
+    port = world.open_console()
+    client = await world.run()
+    for number in range(3):
+        assert await client.hand_in(f"m{number}") == b"+OK"
+    assert (await scraped(port))["relay_current", "", ""] == 3
+    await world.kill()
+    host = await world.add("h1")
+    await world.run()
+    await host.until(lambda: sum(len(request.ids) for request in host.seen) == 3)
+
+    async def counted() -> None:
+        while (await scraped(port))["relay_transactions_total", "safe", "answered"] != 3:
+            await asyncio.sleep(0.02)
+
+    await soon(counted())
+    assert (await scraped(port))["relay_current", "", ""] == 0
+
+
+@pytest.mark.parametrize("text", ["", "{"])
+async def test_files_taken_and_turned_down_are_counted(world: World, text: str) -> None:
+    port = world.open_console()
+    await world.run()
+
+    async def counted(invalid: int) -> None:
+        want = {("relay_conf_loaded_total", "", ""): 1.0, ("relay_conf_invalid_total", "", ""): 1.0 * invalid}
+        while differences(await scraped(port), want):
+            await asyncio.sleep(0.02)
+
+    await world.reload()
+    await soon(counted(0))  # two signals at once would be one
+    await world.reload(text)
+    await soon(counted(1))
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from mallowlug.core.clock import Clock
+from mallowlug.core.figures import Figures
 from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList, Listed
@@ -132,6 +133,7 @@
         plugs=Plugs(lambda *_: partners, lambda *_: Mock(), lambda *_: Mock()),
         clock=Clock(clock_us, lambda: 0.0, lambda: True),
         listings=Listings(1, 60.0),
+        figures=Figures(()),
         crashed=lambda error: pytest.fail(repr(error)),
     )
     driver.start(HostList(1, True, (listed("h1", 1), listed("h11", 2), listed("h2", 3))))
--- a/tests/world.py
+++ b/tests/world.py
@@ -302,6 +302,22 @@
     return b"ENQUEUE", b"0" * 16, ref.encode(), names.encode(), body
 
 
+def free_port() -> int:
+    """A port of this machine's loopback that nobody has now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+async def called(port: int, method: str, target: str) -> tuple[int, str]:
+    """One call at a console: status and body."""
+    reader, writer = await soon(asyncio.open_connection("127.0.0.1", port))
+    writer.write(f"{method} {target} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
+    head, _, body = (await soon(reader.read())).partition(b"\r\n\r\n")
+    writer.close()
+    return int(head.split(b" ", 2)[1]), body.decode()
+
+
 class World:
     """A directory, hosts as they are added, and the real process of one relay."""
 
@@ -344,6 +360,12 @@
         self.directory.change(name, dial=f"127.0.0.1:{host.port}", **{"class": kind}, **fields)
         return host
 
+    def open_console(self) -> int:
+        """The relays that start from now on have a console; its port."""
+        port = free_port()
+        self.variables["ROUTER_CONSOLE"] = f"127.0.0.1:{port}"
+        return port
+
     def name(self, dest: int) -> None:
         """Make a destination known that has nobody to serve it."""
         self.directory.change(f"none-{dest}", dial="127.0.0.1:1", block=dest, health="DRAINING")
