Hosts out by hand: kept before the yes, over lives and lists; back means cold

Change: core/outs.py keeps the hosts in $ROUTER_STATE/out (written beside, one rename) before the yes; the partners' side begins no call there, also one that was decided before; the module counts such a host as not ready, and one that is back as a new endpoint: quota of one call, no records, the spacing of a cold return, told to later lives. A told wait goes on binding its route.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -16,6 +16,7 @@
 from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList
+from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Front, Intake, Plugs
 from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import Watch
@@ -68,7 +69,8 @@
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[int] = loop.create_future()
     figures = Figures(cls.name for cls in cfg.settings.classes)
-    desk = Desk(figures)
+    outs = Outs(cfg.state, system.disk)
+    desk = Desk(figures, outs)
     console = await open_console(cfg, desk, system)
     journal = Journal(cfg.state, cfg.disk_bytes, system.disk, extras.durable)
 
@@ -84,6 +86,7 @@
         clock=clock_of(system, cfg.state, loop.time),
         listings=Listings(extras.awake, extras.rest_s),
         figures=figures,
+        outs=outs,
         crashed=crashed,
     )
     fronts = fronts_of(cfg, extras, driver, system)
--- a/mallowlug/core/desk.py
+++ b/mallowlug/core/desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mallowlug.core.figures import Figures, Now
+from mallowlug.core.outs import Outs
 from mallowlug.core.relay import Driver
 
 NOTHING = Now(0, 0, 0, 0)
@@ -11,8 +12,8 @@
 class Desk:
     """The process as the console sees it."""
 
-    def __init__(self, figures: Figures) -> None:
-        self._figures = figures
+    def __init__(self, figures: Figures, outs: Outs) -> None:
+        self._figures, self._outs = figures, outs
         self.driver: Driver | None = None  # once the journal is taken up
         self.serving = False  # listening for clients, and not told to end
 
@@ -26,9 +27,12 @@
         return self._figures.text(self.driver.now if self.driver is not None else NOTHING)
 
     def put_out(self, host: str) -> str:
-        """Leave a host out; not yet."""
-        return f"no way to leave {host} out yet"
+        """Leave a host out; else why not. One that is out stays so, whether or not it is listed now."""
+        return self._outs.put(host) if self._known(host) else f"unknown host: {host}"
 
     def put_back(self, host: str) -> str:
-        """The host may serve again; not yet."""
-        return f"no way to take {host} back yet"
+        """The host may serve again; else why not."""
+        return self._outs.back(host) if self._known(host) else f"unknown host: {host}"
+
+    def _known(self, host: str) -> bool:
+        return host in self._outs.hosts or (self.driver is not None and self.driver.lists(host))
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -21,6 +21,7 @@
 from mallowlug.system import APPEND, FRESH, Disk
 
 LOG = logging.getLogger(__name__)
+OTHERS = 16  # blocks for the small files beside the journal: clock, overruled, hosts out (and new)
 MARK = b"\xa5mlg"
 FRAME = struct.Struct("<4sII")
 BLOCK = 512  # files count in whole blocks
@@ -100,7 +101,7 @@
     def __init__(self, folder: Path, disk_bytes: int, disk: Disk, durable: bool = False) -> None:
         self._disk, self._folder, self._durable = disk, folder, durable
         self._path, self._spare = folder / "journal", folder / "journal.new"
-        self._budget = disk_bytes - 4 * BLOCK
+        self._budget = disk_bytes - OTHERS * BLOCK
         self._live: dict[str, list[bytes]] = {}  # raw records of each message that is not over
         self._cares: dict[str, bytes] = {}  # by endpoint: the raw record of the care that is due there
         self._live_bytes = 0
--- a/mallowlug/core/listings.py
+++ b/mallowlug/core/listings.py
@@ -43,6 +43,12 @@
         self.hosts = 0  # endpoints that are listed, of all destinations
         self._awake: OrderedDict[int, float] = OrderedDict()  # by when they were used last (s)
 
+    def lists(self, host: str) -> bool:
+        """Whether an endpoint of that id is listed; it looks through all, and is for a person's question."""
+        word = pack(host)
+        rows = (row for packed in self._rows.values() if word in packed for row in ROWS.decode(packed))
+        return any(row[0] == host for row in rows)
+
     def __contains__(self, dest: int) -> bool:
         return dest in self._rows
 
--- a/mallowlug/core/ports.py
+++ b/mallowlug/core/ports.py
@@ -68,7 +68,7 @@
       have run. A part that ends while others of its call go on counts as out with the call's first byte.
     - ``complete`` is told once nothing more is owed, also for a part whose own limit has passed before.
     - A part that ends while its call lasts for others is released once that call is off the wire.
-    - Nothing is written twice, and no call is begun to an endpoint that drains, is gone or told to wait,
+    - Nothing is written twice, and no call is begun to an endpoint that drains, is gone, out or told to wait,
       whatever was decided before that was heard.
     - A told wait binds its route from the answer on, and is told to the core with that answer's parts.
     """
@@ -84,6 +84,9 @@
     def apply(self, news: HostList) -> None:
         """Follow the list at once."""
 
+    def bar(self, host: str, out: bool) -> None:
+        """Begin no call to a host that is out by hand, whatever the list says, until it is back."""
+
     def batch(self, host: str) -> int:
         """How many messages a call there may carry."""
 
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -31,6 +31,7 @@
     Taken,
     Told,
 )
+from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Plugs
 from mossfront import Relay as Module
 from mossfront import interface as api
@@ -65,6 +66,7 @@
         clock: Clock,
         listings: Listings,
         figures: Figures,
+        outs: Outs,
         crashed: Callable[[BaseException], None],
     ) -> None:
         self._set, self._journal, self._crashed, self._figures = settings, journal, crashed, figures
@@ -82,13 +84,16 @@
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
-        self._listings = listings
+        self._listings, self._outs = listings, outs
         self.listed = False  # whether a list is known, be it an old one
         self._rest: asyncio.TimerHandle | None = None  # when idle destinations are asked to sleep
 
     def start(self, known: HostList) -> None:
         """Take up what the last life left, then follow the list; called before clients are answered."""
         self._ends.start()
+        self._outs.changed = self._by_hand
+        for host in self._outs.hosts:
+            self._by_hand(host, True)
         self._listed(known, api.RosterKind.CACHED)
         now_us = self.clock()
         for message in self._journal.recovered.values():
@@ -132,6 +137,15 @@
         """A refusal at the door, with when to come back."""
         return Refused(self._set.max_retry_after_us // 1000)
 
+    def lists(self, host: str) -> bool:
+        """Whether the list as it is held names an endpoint."""
+        return self._listings.lists(host)
+
+    def _by_hand(self, host: str, out: bool) -> None:
+        """A host is out or back: that binds calls at once and the module with its next step."""
+        self._partners.bar(host, out)
+        self._post(api.ByHand(host, out))
+
     @property
     def now(self) -> Now:
         """What a scrape reads."""
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -146,6 +146,7 @@
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: the loop's time until which it is to be left alone
         self.written = 0
+        self._out: set[str] = set()  # by hand, listed or not
         self.exchanges: dict[Exchange, None] = {}  # in order, so that what is given up goes in order too
 
     def apply(self, news: HostList) -> None:
@@ -167,6 +168,16 @@
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
                 self.close_idle(host)
 
+    def bar(self, host: str, out: bool) -> None:
+        """A host is out by hand, or back: then as a new process, which no old connection reaches."""
+        (self._out.add if out else self._out.discard)(host)
+        self.close_idle(host)
+
+    def _serves(self, host: str) -> bool:
+        """Whether the list and the staff let calls go there."""
+        listed = self._listed.get(host)
+        return listed is not None and listed.entry.listing is Listing.READY and host not in self._out
+
     def zone(self, host: str) -> str:
         """The zone of a host."""
         return self._listed[host].entry.zone if host in self._listed else ""
@@ -192,8 +203,7 @@
     def barred(self, host: str) -> Told | None:
         """Why nothing may be written there now: decided before, a call must still obey newer news."""
         wait_us = self.wait_left_us(host)
-        listed = self._listed.get(host)
-        if listed is None or listed.entry.listing is not Listing.READY or wait_us:
+        if wait_us or not self._serves(host):
             return Told(Verdict.NOT_SENT, wait_us=wait_us)
         return None
 
@@ -347,8 +357,7 @@
 
     def _keep(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
-        listed = self._listed.get(host)
-        if listed is None or listed.entry.listing is not Listing.READY or not connection.reusable():
+        if not self._serves(host) or not connection.reusable():
             return False
         if sum(map(len, self._idle.values())) >= self._most_idle:
             return False
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -15,8 +15,9 @@
 
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
-    Action, Arrival, Asleep, Care, CloseIdle, Effect, Event, Fail, Idle, Kind, Listing, Log, Outcome,
-    Refuse, Released, Roster, RosterKind, Send, Settings, Subscribe, TimerDue, Verdict, Wake, Withdrawn,
+    Action, Arrival, Asleep, ByHand, Care, CloseIdle, Effect, Entry, Event, Fail, Idle, Kind, Listing, Log,
+    Outcome, Refuse, Released, Roster, RosterKind, Send, Settings, Subscribe, TimerDue, Verdict, Wake,
+    Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
 
@@ -61,7 +62,7 @@
         self.bends = {cls.name: bends(cls, settings.halves, URGENCY_US) for cls in settings.classes}
         self.all_held: Lanes = {}  # over all destinations, by class and worth
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
-        self.dests = dict[int, Destination]()
+        self.dests, self.out = dict[int, Destination](), set[str]()  # out: hosts that staff leave out
         self.turns = dict[str, list[Message]]()  # by key: messages in order of arrival
         self.rests = dict[str, int]()  # by key: when an attempt that may still run has died down
         self.wired = dict[tuple[str, int], str]()  # attempts whose call is on the wire still, and their keys
@@ -102,6 +103,8 @@
                 self.wake_us = -1  # it has come, be it a little early: no other would
             elif isinstance(event, Idle):
                 idle.append(event.dest)
+            elif isinstance(event, ByHand):
+                self._by_hand(event.host, event.out)
             elif isinstance(event, Care) and event.host in self.endpoints:
                 self._beware(self.endpoints[event.host], event.for_us)
         while self.due and self.due[0][0] <= now_us:
@@ -154,11 +157,7 @@
                     del self.dests[known.dest].endpoints[entry.host]
                     self.dests[known.dest].listed_anew()
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
-                known = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
-                known.start, known.quota = start, 1 if later else start
-                if known.limit.pace == math.inf and even:
-                    known.limit.pace, known.limit.pace_us = even, self.now
-                self.endpoints[entry.host] = dest.endpoints[entry.host] = known
+                known = self._enlist(entry, kind, 1 if later else start, even)
             known.follow(entry.listing, self.now)
             dest.listed_anew()
             self.look[entry.dest] = None
@@ -167,6 +166,33 @@
         if event.kind is not RosterKind.AWAKE and self.now >= self.forget_us:
             self._forget()
 
+    def _enlist(self, entry: Entry, kind: Kind, quota: int, pace: float) -> Endpoint:
+        """An endpoint of which nothing is known yet."""
+        dest = self.dests[entry.dest]
+        new = Endpoint(entry, kind, dest.limit, Guard(MEMORY_US), Tally(MEMORY_US, 1 - WEIGHT))
+        new.start, new.quota, new.out = max(1, int(CAP_SHARE * self.set.slots)), quota, entry.host in self.out
+        if new.limit.pace == math.inf and pace:
+            new.limit.pace, new.limit.pace_us = pace, self.now
+        self.endpoints[entry.host] = dest.endpoints[entry.host] = new
+        return new
+
+    def _by_hand(self, host: str, out: bool) -> None:
+        """Nothing new goes to what is out. What is back is a new process: cold, nothing is known of it."""
+        was, old = host in self.out, self.endpoints.get(host)
+        (self.out.add if out else self.out.discard)(host)
+        if old is None or was == out:
+            return
+        old.out = out
+        if not out:  # calls out are settled with the old endpoint
+            entry = Entry(host, old.dest, old.zone, old.kind.name, old.listing)
+            new = self._enlist(entry, old.kind, 1, old.limit.pace if old.limit.pace < math.inf else 0.0)
+            new.gone_us, new.limit.rate = old.gone_us, old.limit.rate
+            new.own.cold_us = self.now
+            self._space(new, new.own, self.rng.random())
+            self._care(new, self.set.warm_within_us)
+        self.dests[old.dest].listed_anew()
+        self.look[old.dest] = None
+
     def _forget(self) -> None:
         """Let go of hosts that are gone and of destinations that nothing speaks of: ids are ever new.
 
@@ -196,9 +222,9 @@
         self.actions.append(Asleep(number))
 
     def avoided(self) -> int:
-        """Endpoints that nothing new is sent to now: they drain, or an outage pauses them."""
-        return sum(e.listing is Listing.DRAINING or self._ill(e) for e in self.endpoints.values()
-                   if e.listing is not Listing.GONE)  # fmt: skip
+        """Listed endpoints that nothing new is sent to now: out by hand, draining, or paused by an outage."""
+        listed = [e for e in self.endpoints.values() if e.listing is not Listing.GONE]
+        return sum(e.out or e.listing is Listing.DRAINING or self._ill(e) for e in listed)
 
     def _until_us(self, endpoint: Endpoint) -> int:
         """When no wait, pause or cold return binds there any more."""
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -256,7 +256,15 @@
     dest: int
 
 
-Event = Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Released | Care | Idle
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """Staff leave an endpoint out, whatever the list says, or take it back: then as a new, cold process."""
+
+    host: str
+    out: bool
+
+
+Event = ByHand | Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Released | Care | Idle
 
 
 @dataclass(frozen=True, slots=True)
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -70,7 +70,7 @@
 
     def __init__(self, entry: Entry, kind: Kind, shared: Guard, own: Guard, ratio: Tally) -> None:
         self.host, self.dest, self.zone, self.kind = entry.host, entry.dest, entry.zone, kind
-        self.listing, self.ratio, self.own = entry.listing, ratio, own
+        self.listing, self.ratio, self.own, self.out = entry.listing, ratio, own, False  # out: by hand
         self.limit = own if kind.apart else shared
         self.guards = (own,) if kind.apart else (own, shared)
         self.calls: list[Call] = []
@@ -128,7 +128,7 @@
         self._ready = None
 
     def ready(self) -> list[Endpoint]:
-        """Endpoints that the directory lists as ready."""
+        """Endpoints that the directory lists as ready and that nobody has put out."""
         if self._ready is None:
-            self._ready = [e for e in self.endpoints.values() if e.listing is Listing.READY]
+            self._ready = [e for e in self.endpoints.values() if e.listing is Listing.READY and not e.out]
         return self._ready
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -16,6 +16,7 @@
 from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList, Listed
+from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Plugs
 from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import SLICE, slices
@@ -134,6 +135,7 @@
         clock=Clock(clock_us, lambda: 0.0, lambda: True),
         listings=Listings(1, 60.0),
         figures=Figures(()),
+        outs=Outs(tmp_path, POSIX.disk),
         crashed=lambda error: pytest.fail(repr(error)),
     )
     driver.start(HostList(1, True, (listed("h1", 1), listed("h11", 2), listed("h2", 3))))
