--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -31,6 +31,7 @@
 LOG = logging.getLogger("mallowlug")
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
+STAFF_BYTES = 8 * 1024  # of the lasting folder, where there is a console: what is kept of its calls
 CALLERS = 16  # one descriptor in so many is for the console's callers
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
@@ -72,7 +73,7 @@
     outs = Outs(cfg.state, system.disk)
     desk = Desk(figures, outs)
     console = await open_console(cfg, desk, system)
-    journal = Journal(cfg.state, cfg.disk_bytes, system.disk, extras.durable)
+    journal = Journal(cfg.state, cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES, system.disk, extras.durable)
 
     def crashed(_error: BaseException) -> None:
         if not ended.done():
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -21,7 +21,7 @@
 from mallowlug.system import APPEND, FRESH, Disk
 
 LOG = logging.getLogger(__name__)
-OTHERS = 16  # blocks for the small files beside the journal: clock, overruled, hosts out (and new)
+OTHERS = 4  # blocks for the small files beside the journal: clock, overruled
 MARK = b"\xa5mlg"
 FRAME = struct.Struct("<4sII")
 BLOCK = 512  # files count in whole blocks
