Take settings at SIGHUP: checked whole, swapped at once; open messages keep their rules

Lines: reload() took the address alone; Settings were fixed at the start; the module looked classes up by name.

Change: a file must have every key of the one in force (config.shape_of, lacking); then settings are swapped as one value (Driver.change, api.Changed). A class that is dropped is taken on for 2 s more, by its rules.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -73,7 +73,8 @@
     outs = Outs(cfg.state, system.disk)
     desk = Desk(figures, outs)
     console = await open_console(cfg, desk, system)
-    journal = Journal(cfg.state, cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES, system.disk, extras.durable)
+    disk_bytes = cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES
+    journal = Journal(cfg.state, disk_bytes, system.disk, extras.durable)
 
     def crashed(_error: BaseException) -> None:
         if not ended.done():
@@ -131,20 +132,21 @@
 
 
 def reload(driver: Driver, started: config.Config, system: System, figures: Figures) -> None:
-    """SIGHUP: read the file again and go to the discovery that it names; what cannot be used changes nothing.
+    """SIGHUP: read the file again and go by its settings and to the discovery that it names.
 
-    The rest of the file binds journal, limits and the module's memory, and counts from the next start.
+    What cannot be used changes nothing. Limits and addresses of this process count from the next start.
     """
     try:
-        cfg = config.load(system, reloading=True)
+        cfg = config.load(system, reloading=True, shape=started.shape)
     except config.ConfigError as error:
         LOG.error("SIGHUP: the old configuration stays: %s", error)
         figures.invalid += 1
         return
     figures.loaded += 1
     LOG.info("SIGHUP: discovery at %s:%d", *cfg.discovery)
-    if (cfg.settings, cfg.listen) != (started.settings, started.listen):
-        LOG.warning("SIGHUP: changed settings and addresses other than discovery's wait for the next start")
+    if cfg.listen != started.listen:
+        LOG.warning("SIGHUP: a changed address of the relay waits for the next start")
+    driver.change(cfg.settings)
     driver.move(cfg.discovery)
 
 
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -40,6 +40,7 @@
     sockets: int
     known: HostList
     console: Address | None = None  # where on-call staff and their tools call
+    shape: Any = ...  # the keys of the file, which a later one must have too
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,11 +134,49 @@
     return address
 
 
-def load(system: System, reloading: bool = False) -> Config:
-    """Read ``$ROUTER_CONFIG``; where a variable of its own is set, that one counts."""
+def shape_of(value: Any) -> Any:
+    """The keys of a JSON value: of objects, and of a list's objects those that all of them have.
+
+    None stands for a plain value, an empty list for one of plain values, ``...`` for anything.
+    """
+    if isinstance(value, dict):
+        return {key: shape_of(item) for key, item in value.items()}
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        return [{key: shape_of(value[0][key]) for key in value[0] if all(key in item for item in value)}]
+    return [] if isinstance(value, list) else value if value is ... else None
+
+
+def lacking(value: Any, shape: Any, path: str = "") -> Iterator[str]:
+    """What a file has to have by an earlier one's shape and does not: a key, or the kind of its value."""
+    if shape is None and isinstance(value, dict | list):
+        yield f"a plain value at {path}"
+    elif isinstance(shape, dict):
+        if not isinstance(value, dict):
+            yield path or "all"
+            return
+        for key, inner in shape.items():
+            if value.get(key) is None:
+                yield f"{path}.{key}" if path else key
+            else:
+                yield from lacking(value[key], inner, f"{path}.{key}" if path else key)
+    elif isinstance(shape, list):
+        if not isinstance(value, list):
+            yield path
+            return
+        for at, item in enumerate(value):
+            yield from lacking(item, shape[0] if shape else None, f"{path}.{at}")
+
+
+def load(system: System, reloading: bool = False, shape: Any = ...) -> Config:
+    """Read ``$ROUTER_CONFIG``; where a variable of its own is set, that one counts.
+
+    ``shape``: that of the file in force. One that lacks a key of it is incomplete, and nothing of it counts.
+    """
     environ = system.environ
     try:
         raw = msgspec.json.decode(system.disk.read(Path(environ["ROUTER_CONFIG"])))
+        if missing := next(lacking(raw, shape), ""):
+            raise ConfigError(f"missing {missing}")
         pairs = dict(flatten(raw["settings"]))
         limits, console = raw.get("limits", {}), environ.get("ROUTER_CONSOLE") or raw.get("console")
         return Config(
@@ -153,6 +192,7 @@
             sockets=int(limits.get("sockets", 1024)),
             known=read_list(raw["known"]) if raw.get("known") else HostList(0, True, ()),
             console=address_of(console) if console else None,
+            shape=shape_of(raw | ({"known": ...} if "known" in raw else {})),
             discovery=discovery_of(system, raw, reloading),  # last: what cannot be used leaves no mark
         )
     except KeyError as error:
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -11,7 +11,7 @@
 import logging
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -22,6 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 OTHERS = 4  # blocks for the small files beside the journal: clock, overruled
+MOST_RULES = 32  # sets of rules that are kept though no message lives by them
 MARK = b"\xa5mlg"
 FRAME = struct.Struct("<4sII")
 BLOCK = 512  # files count in whole blocks
@@ -109,6 +110,9 @@
         # What was written since the last sync; whether one has failed: after that nothing written before it
         # is known to be safe, and syncing again proves nothing (Rebello et al., USENIX ATC 2020).
         self._unsynced, self._doubtful = False, False
+        self.rules: dict[int, dict[str, Any]] = {}  # by number: under which messages were taken on
+        self._rules: dict[int, bytes] = {}  # their raw records
+        self._under: dict[str, int] = {}  # by message that is not over: the number of its rules
         self.cares: dict[str, int] = {}  # by endpoint: until when (us) the last life owed it care
         self.recovered: dict[str, Recovered] = {}
         disk.unlink(self._spare)  # a compaction that did not end: the old log still counts
@@ -150,6 +154,9 @@
         if kind == "care":
             self.cares[ref] = int(head[2])
             return
+        if kind == "rules":
+            self.rules[int(ref)] = dict(head[2])
+            return
         message = self.recovered.get(ref)
         if message is None:
             return
@@ -168,6 +175,11 @@
         kind, ref = head[0], head[1]
         if kind == "in":
             self._live[ref] = [raw]
+            if "rules" in head[2]:
+                self._under[ref] = int(head[2]["rules"])
+        elif kind == "rules":
+            self._live_bytes -= len(self._rules.get(ref, b""))
+            self._rules[ref] = raw
         elif kind == "care":
             self._live_bytes -= len(self._cares.get(ref, b""))
             self._cares[ref] = raw
@@ -175,6 +187,7 @@
             return
         elif kind == "over":
             self._live_bytes -= sum(map(len, self._live.pop(ref)))
+            self._under.pop(ref, None)
             return
         else:
             self._live[ref].append(raw)
@@ -194,6 +207,24 @@
             self.over(ref)  # it is refused; a record that may be on the disk must not bring it back
             raise
 
+    def rule(self, fields: dict[str, Any], keep: Collection[int]) -> int:
+        """The number of a set of rules, which a later life will know.
+
+        Of many, those that no message lives by are forgotten, but for those to ``keep``.
+        """
+        for number, known in self.rules.items():
+            if known == fields:
+                return number
+        if len(self.rules) >= MOST_RULES:
+            used = {*self._under.values(), *keep}
+            for number in [number for number in self.rules if number not in used]:
+                del self.rules[number]
+                self._live_bytes -= len(self._rules.pop(number))
+        number = 1 + max(self.rules, default=0)
+        self.rules[number] = fields
+        self._note(["rules", number, fields])
+        return number
+
     def sync(self) -> None:
         """What was written is safe from the loss of power; where the journal is not durable, nothing is done.
 
@@ -262,7 +293,7 @@
             self._append([])
             return True
         except JournalFullError as error:
-            about = "host" if head[0] == "care" else "message_id"
+            about = {"care": "host", "rules": "rules"}.get(head[0], "message_id")
             LOG.error("journal: %s of %s not kept yet: %s", head[0], head[1], error, extra={about: head[1]})
             return False
 
@@ -295,7 +326,7 @@
         A durable one is synced before it takes the old one's name, and the name before it is relied on.
         """
         live = (raw for records in self._live.values() for raw in records)
-        data = b"".join((*live, *self._cares.values()))
+        data = b"".join((*self._rules.values(), *live, *self._cares.values()))
         small = len(data) < self._size or forced
         if not small or blocks(self._size) + blocks(len(data)) > self._budget:
             return
--- a/mallowlug/core/ports.py
+++ b/mallowlug/core/ports.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from mallowlug.core.model import Address, Answer, Call, Handed, HostList, Notice, Part, Refused, Told
+from mossfront.interface import Kind
 
 Settled = Callable[[Call, Part, Told], None]
 Released = Callable[[Part], None]
@@ -84,6 +85,9 @@
     def apply(self, news: HostList) -> None:
         """Follow the list at once."""
 
+    def change(self, kinds: Iterable[Kind]) -> None:
+        """Go by these kinds of endpoints from now on."""
+
     def bar(self, host: str, out: bool) -> None:
         """Begin no call to a host that is out by hand, whatever the list says, until it is back."""
 
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -10,7 +10,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, fields
+from dataclasses import asdict, dataclass, fields
 from itertools import islice
 from typing import Any
 
@@ -41,15 +41,29 @@
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 UNKNOWN_US = 1 << 60  # us: an attempt so old that no window covers it
+DROPPED_S = 2.0  # s in which a class that is dropped is still taken on, by its rules
 FIELDS = [field.name for field in fields(Handed)]
 
 
+def told_of(cls: api.MessageClass, most: int) -> dict[str, Any]:
+    """A set of rules as the journal keeps it."""
+    return {**asdict(cls), "effect": cls.effect.value, "most": most}
+
+
+def rules_of(told: dict[str, Any]) -> api.Rules:
+    """What the journal has kept; ``KeyError``, ``TypeError`` or ``ValueError`` where it makes no sense."""
+    fields_ = {name: value for name, value in told.items() if name != "most"}
+    cls = api.MessageClass(**{**fields_, "effect": api.Effect(told["effect"])})
+    return api.Rules(cls, int(told["most"]))
+
+
 @dataclass(slots=True)
 class Held:
     """A message that owes its end, and how many attempts it had."""
 
     handed: Handed
     body: bytes
+    effect: api.Effect
     attempts: int = 0
 
 
@@ -83,6 +97,10 @@
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
+        self._known_rules: dict[int, api.Rules] = {}
+        self._dropped: dict[str, api.MessageClass] = {}  # classes that clients may still name for a moment
+        self._numbers: dict[str, int] = {}
+        self._numbers = self._numbered(settings)
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
         self._listings, self._outs = listings, outs
         self.listed = False  # whether a list is known, be it an old one
@@ -109,6 +127,34 @@
             self._inbox.append(api.Care(host, until_us - now_us))
         self._step()
 
+    def _numbered(self, settings: api.Settings) -> dict[str, int]:
+        """By class: the number of its rules in the journal; classes that are dropped keep theirs."""
+        numbers = dict(self._numbers)
+        for cls in settings.classes:
+            numbers[cls.name] = self._journal.rule(told_of(cls, settings.max_attempts), numbers.values())
+        return numbers
+
+    def change(self, settings: api.Settings) -> None:
+        """Other settings count from now on; what is open keeps its rules, and so does, for a moment, what
+        clients who have not heard of the change yet bring of a class that is dropped.
+        """
+        if settings == self._set:
+            return
+        before, self._set = self._classes, settings
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._dropped = {name: cls for name, cls in before.items() if name not in self._classes}
+        self._numbers = {name: self._numbers[name] for name in before}
+        self._numbers = self._numbered(settings)
+        self._figures.know(self._classes)
+        self._partners.change(settings.kinds)
+        self._post(api.Changed(settings))
+        asyncio.get_running_loop().call_later(DROPPED_S, self._drop, settings)
+
+    def _drop(self, settings: api.Settings) -> None:
+        """What clients bring of a class that these settings do not know is refused from now on."""
+        if self._set is settings:
+            self._dropped = {}
+
     def move(self, discovery: Address) -> None:
         """The platform is to be found at another address from now on."""
         self._directory.move(discovery)
@@ -175,22 +221,37 @@
         if len(self._held) >= self._set.hold_cap:
             return self.refusal
         try:
-            self._journal.accept(handed.id, {name: getattr(handed, name) for name in FIELDS}, body)
+            fields = {name: getattr(handed, name) for name in FIELDS}
+            number = self._numbers[handed.cls]
+            self._journal.accept(handed.id, fields | {"rules": number}, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error, extra={"message_id": handed.id})
             return self.refusal
-        self._held[handed.id] = Held(handed, body)
+        self._held[handed.id] = Held(handed, body, self._class(handed.cls).effect)
         self._use(handed.dest)
-        self._post(self._arrival(handed, self.clock()))
+        rules = self._rules(number) if handed.cls in self._dropped else None
+        self._post(self._arrival(handed, self.clock(), rules=rules))
         return Taken()
 
     def _misfit(self, handed: Handed) -> str:
         """Why the settings have no place for a message, which the module would drop unseen; else empty."""
-        cls = self._classes.get(handed.cls)
-        if cls is None:
+        if handed.cls not in self._classes and handed.cls not in self._dropped:
             return "unknown class"
+        cls = self._class(handed.cls)
         return "k is missing" if cls.effect is api.Effect.KEYED and not handed.key else ""
 
+    def _class(self, name: str) -> api.MessageClass:
+        return self._classes.get(name) or self._dropped[name]
+
+    def _rules(self, number: int) -> api.Rules | None:
+        """The rules of that number; None where the journal does not know them."""
+        if (rules := self._known_rules.get(number)) is None and number in self._journal.rules:
+            try:
+                rules = self._known_rules[number] = rules_of(self._journal.rules[number])
+            except (KeyError, TypeError, ValueError) as error:
+                LOG.error("journal: rules %d cannot be read: %s", number, error)
+        return rules
+
     def _arrival(self, handed: Handed, now_us: int, **former: Any) -> api.Arrival:
         left_us = handed.deadline_us - now_us
         return api.Arrival(handed.id, handed.dest, handed.cls, left_us, handed.tenant, handed.order, **former)
@@ -203,6 +264,7 @@
         if message.notice is not None:
             self._ends.send(Notice(message.id, *message.notice))
             return
+        rules = self._rules(message.fields.pop("rules", 0))
         try:
             handed = Handed(**message.fields)
         except TypeError as error:
@@ -210,14 +272,16 @@
                 "journal: message %s cannot be read: %s", message.id, error, extra={"message_id": message.id}
             )
             handed = None
-        if handed is None or handed.cls not in self._classes:  # another version's or another site's
+        if rules is None and handed is not None and handed.cls in self._classes:  # of a version without rules
+            rules = self._rules(self._numbers[handed.cls])
+        if handed is None or rules is None:  # another version's or another site's
             self._journal.end(message.id, "dead", 0)
             self._ends.send(Notice(message.id, "dead"))
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
-        self._held[message.id] = Held(handed, message.body, attempts)
+        self._held[message.id] = Held(handed, message.body, rules.cls.effect, attempts)
         self._use(handed.dest)
-        former: dict[str, Any] = {"attempts": attempts}
+        former: dict[str, Any] = {"attempts": attempts, "rules": rules}
         if risky := [a for a in message.attempts if not a.never_ran]:
             first = min(risky, key=lambda attempt: attempt.at_us)
             # One from the future: the clock was set back between two lives, and nobody knows how old it is.
@@ -396,7 +460,7 @@
         kept = self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._figures.ended(held.handed.cls, "deferred" if notice.result == "bounced" else "errored")
         self._remember(notice.ref)
-        return [(notice, kept or self._classes[held.handed.cls].effect is api.Effect.SAFE)]
+        return [(notice, kept or held.effect is api.Effect.SAFE)]
 
     def _not_made(self, call: Call) -> None:
         """A call whose attempts could not be journaled is not made."""
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -168,6 +168,10 @@
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
                 self.close_idle(host)
 
+    def change(self, kinds: Iterable[Kind]) -> None:
+        """Go by these kinds from now on."""
+        self._kinds = {kind.name: kind for kind in kinds}
+
     def bar(self, host: str, out: bool) -> None:
         """A host is out by hand, or back: then as a new process, which no old connection reaches."""
         (self._out.add if out else self._out.discard)(host)
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -15,11 +15,11 @@
 
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
-    Action, Arrival, Asleep, ByHand, Care, CloseIdle, Effect, Entry, Event, Fail, Idle, Kind, Listing, Log,
-    Outcome, Refuse, Released, Roster, RosterKind, Send, Settings, Subscribe, TimerDue, Verdict, Wake,
-    Withdrawn,
+    Action, Arrival, Asleep, ByHand, Care, Changed, CloseIdle, Effect, Entry, Event, Fail, Idle, Kind,
+    Listing, Log, Outcome, Refuse, Released, Roster, RosterKind, Rules, Send, Settings, Subscribe, TimerDue,
+    Verdict, Wake, Withdrawn,
 )
-from mossfront.state import Call, Destination, Endpoint, Guard, Message, Record, Tally
+from mossfront.state import Call, Destination, Endpoint, Guard, Manner, Message, Record, Tally
 
 CAP_SHARE, SICK_SHARE = 0.75, 0.5  # of slots: calls to one healthy, one failing or slow destination
 FORGET_US = 20_000_000  # us after which a host that is gone is forgotten, if nothing binds it any more
@@ -57,9 +57,8 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.set, self.rng, self.now, self.actions = settings, random.Random(seed), 0, list[Action]()
-        self.classes = {cls.name: cls for cls in settings.classes}
-        self.kinds = {kind.name: kind for kind in settings.kinds}
-        self.bends = {cls.name: bends(cls, settings.halves, URGENCY_US) for cls in settings.classes}
+        self.manners = dict[Rules, Manner]()
+        self.shares: dict[str, tuple[float, Tally]] = {}
         self.all_held: Lanes = {}  # over all destinations, by class and worth
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
         self.dests, self.out = dict[int, Destination](), set[str]()  # out: hosts that staff leave out
@@ -67,23 +66,47 @@
         self.rests = dict[str, int]()  # by key: when an attempt that may still run has died down
         self.wired = dict[tuple[str, int], str]()  # attempts whose call is on the wire still, and their keys
         self.norms: dict[str, Record] = {}  # by class: latency over all endpoints
-        self.shares = {t.name: (t.quota_per_s, Tally(MEMORY_US)) for t in settings.tenants}
-        self.quotas, self.arrivals = sum(t.quota_per_s for t in settings.tenants), Tally(MEMORY_US)
+        self.arrivals = Tally(MEMORY_US)
         # Calls lost on connections that had been idle, and on others; the idle age that is trusted.
         self.cut, self.kept = Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT)
         self.stale_us, self.crowd = float(settings.keepalive_us), Tally(MEMORY_US)  # crowd: no connection
         self.trials = (Tally(MEMORY_US, 1 - WEIGHT), Tally(MEMORY_US, 1 - WEIGHT))  # failed, refused again
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
-        # The more share a limit, the less often each hears of it: paces move the slower.
-        self.slow = settings.group_size ** 0.5
-        # A group's asks wait for each other: all at once are all late, and those given up are worked off too.
-        self.crowded_us = max(0, ASK_EACH_US * settings.group_size - ASK_GAP_US)
+        self._change(settings)
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), ASK_GAP_US  # next ask; its gap
         self.forget_us = 0  # when to look next for what is gone
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
         self.ends: list[tuple[int, int, Message]] = []  # heap: when to answer a held message
 
+    def _change(self, settings: Settings) -> None:
+        """Go by these settings; what came under others, and what was learned, stays as it is."""
+        self.set = settings
+        self.kinds = {kind.name: kind for kind in settings.kinds}
+        rules = {cls.name: Rules(cls, settings.max_attempts) for cls in settings.classes}
+        self.classes = {name: self._manner(rule) for name, rule in rules.items()}
+        known, self.quotas = self.shares, sum(t.quota_per_s for t in settings.tenants)
+        fresh = (Tally(MEMORY_US) for _ in settings.tenants)
+        self.shares = {
+            t.name: (t.quota_per_s, known[t.name][1] if t.name in known else tally)
+            for t, tally in zip(settings.tenants, fresh, strict=True)
+        }
+        # The more share a limit, the less often each hears of it: paces move the slower.
+        self.slow = settings.group_size ** 0.5
+        # A group's asks wait for each other: all at once are all late, and those given up are worked off too.
+        self.crowded_us = max(0, ASK_EACH_US * settings.group_size - ASK_GAP_US)
+
+    def _manner(self, rules: Rules) -> Manner:
+        """What follows from a set of rules; one for all messages that came under it."""
+        if (found := self.manners.get(rules)) is None:
+            self.serial += 1
+            used = {m.manner.rules for m in self.messages.values()} if len(self.manners) > 64 else None
+            if used is not None:  # settings that change all day must not grow the process
+                self.manners = {rule: manner for rule, manner in self.manners.items() if rule in used}
+            found = Manner(rules, self.serial, bends(rules.cls, self.set.halves, URGENCY_US))
+            self.manners[rules] = found
+        return found
+
     def step(self, now_us: int, events: Iterable[Event]) -> list[Action]:
         """Take in every event of the batch, then answer and dispatch once."""
         self.now, self.actions = now_us, []
@@ -103,6 +126,8 @@
                 self.wake_us = -1  # it has come, be it a little early: no other would
             elif isinstance(event, Idle):
                 idle.append(event.dest)
+            elif isinstance(event, Changed):
+                self._change(event.settings)
             elif isinstance(event, ByHand):
                 self._by_hand(event.host, event.out)
             elif isinstance(event, Care) and event.host in self.endpoints:
@@ -272,9 +297,10 @@
         return min(1.0, parts / self.set.group_size)
 
     def _arrive(self, event: Arrival) -> None:
-        if (cls := self.classes.get(event.cls)) is None or event.id in self.messages:
+        manner = self._manner(event.rules) if event.rules else self.classes.get(event.cls)
+        if manner is None or event.id in self.messages:
             return
-        worth = cls.worth
+        worth = manner.rules.cls.worth
         self.arrivals.add(False, self.now)
         if event.tenant in self.shares:  # beyond its part of this relay's own traffic it is worth little
             quota, own = self.shares[event.tenant]
@@ -283,7 +309,7 @@
             part = max(part, quota / self.set.group_size)
             if self.rng.random() * own.rate(self.now) > part + 2e6 / MEMORY_US:
                 worth *= self.set.over_share_worth
-        message = self.messages[event.id] = Message(event, cls, self.now, worth)
+        message = self.messages[event.id] = Message(event, manner, self.now, worth)
         self.open += 1
         dest = self.dests.setdefault(event.dest, Destination(Guard(MEMORY_US)))
         for limit in (limits := {id(e.limit): e.limit for e in dest.ready()}).values():
@@ -300,7 +326,7 @@
         dest.held[message.id], self.look[message.dest] = message, None
         self.serial += 1
         message.serial = self.serial
-        self.all_held.setdefault((message.cls.name, message.worth), Lane()).add(message)
+        self.all_held.setdefault((message.manner.number, message.worth), Lane()).add(message)
         self._enter(dest, message)
         self._await_end(message)
 
@@ -325,7 +351,10 @@
         dest = self.dests[message.dest]
         if dest.held.pop(message.id, None) is None:
             return
-        self.all_held[message.cls.name, message.worth].remove(message)
+        alike = self.all_held[message.manner.number, message.worth]
+        alike.remove(message)
+        if not alike.entries:
+            del self.all_held[message.manner.number, message.worth]
         dest.resting.pop(message.id, None)
         if message.lane:
             take(dest.lanes, message)
@@ -333,7 +362,7 @@
     def _end_us(self, message: Message) -> int:
         """When its time or window covers no further call."""
         cls, risky = message.cls, message.risky_us >= 0
-        if message.attempts >= self.set.max_attempts or (risky and cls.effect is Effect.UNSAFE):
+        if message.attempts >= message.most or (risky and cls.effect is Effect.UNSAFE):
             return self.now
         end = message.deadline_us - int(max(4 * self.set.round_us, self._record(message).mean_us / 2))
         window = message.risky_us + cls.window_us - self.set.round_us
@@ -585,7 +614,7 @@
 
     def _worst(self) -> Message | None:
         """The least worthy of all that is held."""
-        lanes = [lane for lane in self.all_held.values() if lane.entries]
+        lanes = self.all_held.values()
         return min(lane.least(*self._when(lane), self._score) for lane in lanes)[-1] if lanes else None
 
     def _ending(self, dest: Destination, start_us: int) -> list[Message]:
@@ -604,7 +633,7 @@
     def _when(self, lane: Lane) -> tuple[float, tuple[int, ...]]:
         """When a lane's messages would be delivered if sent now, and where their score may bend."""
         message = lane.entries[0][2]
-        return self.now + self._record(message).mean_us, self.bends[message.cls.name]
+        return self.now + self._record(message).mean_us, message.manner.bends
 
     def _worth(self, message: Message, at_us: float) -> float:
         """What the message earns if delivered at that time."""
@@ -638,7 +667,7 @@
                     message = lane.entries[0][2]
                     # Trials of what fails cost least with what may be repeated, and take turns. With slots
                     # short, worth counts by time in a slot, or crawling destinations take them all.
-                    turn = message.attempts / self.set.max_attempts
+                    turn = message.attempts / message.most
                     risk = ill * (RISKS[message.cls.effect] + turn)
                     if (slot_us := slots_us.get(message.cls.name)) is None:
                         slot_us = min(self._record(message, e).mean_us for e in rooms) if short else 1.0
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -141,6 +141,8 @@
             raise ValueError("fall_multiple: must be positive")
         if not self.classes:
             raise ValueError("classes: at least one is needed")
+        if len({cls.name for cls in self.classes}) < len(self.classes):
+            raise ValueError("classes: a name stands twice")
         for cls in self.classes:
             if not isinstance(cls.effect, Effect):
                 raise ValueError(f"classes.{cls.name}.effect: unknown effect {cls.effect!r}")
@@ -172,12 +174,20 @@
     later: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What a message lives and ends by, whatever the settings say later: its class, and its most attempts."""
+
+    cls: MessageClass
+    most: int
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A message taken in; it must get exactly one final answer within ``left_us``.
 
-    The last three fields speak of a former life of this relay: attempts made, and how long ago and in which
-    zone the first of them was made that may have run (-1: none may).
+    The last four fields speak of a former life of this relay: attempts made, how long ago and in which zone
+    the first of them was made that may have run (-1: none may), and the rules that it was taken on under.
     """
 
     id: str
@@ -189,6 +199,7 @@
     attempts: int = 0
     risky_age_us: int = -1
     risky_zone: str = ""
+    rules: Rules | None = None  # those under which it was taken on, where they are not the present ones
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,7 +275,17 @@
     out: bool
 
 
-Event = ByHand | Roster | Arrival | Outcome | ProbeResult | TimerDue | Withdrawn | Released | Care | Idle
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Other settings count from now on; messages that are open keep the rules under which they came."""
+
+    settings: Settings
+
+
+Event = (
+    Arrival | ByHand | Care | Changed | Idle | Outcome | ProbeResult | Released | Roster | TimerDue
+    | Withdrawn
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from mossfront.interface import Arrival, Entry, Kind, Listing, MessageClass
+from mossfront.interface import Arrival, Entry, Kind, Listing, Rules
 
 if TYPE_CHECKING:
     from mossfront.backlog import Lane
@@ -95,11 +95,20 @@
         self.messages, self.open = 0, 0
 
 
+class Manner:
+    """One set of rules with what follows from it; messages of equal rules share it."""
+
+    def __init__(self, rules: Rules, number: int, bends: tuple[int, ...]) -> None:
+        self.rules, self.number, self.bends = rules, number, bends
+
+
 class Message:
     """A message taken in and what is known of its attempts."""
 
-    def __init__(self, event: Arrival, cls: MessageClass, now_us: int, worth: float) -> None:
+    def __init__(self, event: Arrival, manner: Manner, now_us: int, worth: float) -> None:
+        cls = manner.rules.cls
         self.id, self.dest, self.cls, self.worth = event.id, event.dest, cls, worth
+        self.manner, self.most = manner, manner.rules.most
         self.key, self.deadline_us = event.key if cls.in_order else "", now_us + event.left_us
         self.aim_us = self.deadline_us - cls.deadline_us + cls.aim_us
         self.out: dict[int, Call] = {}
