--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -10,14 +10,15 @@
 from typing import TYPE_CHECKING, Any
 
 from mallowlug import config
+from mallowlug.core.binds import Binds
 from mallowlug.core.clock import clock_of
 from mallowlug.core.desk import Desk
 from mallowlug.core.figures import Figures
-from mallowlug.core.journal import Journal
-from mallowlug.core.listings import Listings
+from mallowlug.core.journal import Journal, JournalFullError
+from mallowlug.core.listings import Listings, listed_of
 from mallowlug.core.model import HostList
 from mallowlug.core.outs import Outs
-from mallowlug.core.ports import Front, Intake, Plugs
+from mallowlug.core.ports import Intake, Plugs
 from mallowlug.core.relay import Driver
 from mallowlug.directory.discovery import Watch
 from mallowlug.ends.notices import Notices
@@ -27,25 +28,28 @@
 
 if TYPE_CHECKING:
     from mallowlug.console.server import Console
+    from mallowlug.upgrade.shift import Shift
 
 LOG = logging.getLogger("mallowlug")
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
-STAFF_BYTES = 8 * 1024  # of the lasting folder, where there is a console: what is kept of its calls
+SHUT_S = 0.3  # s after SIGTERM when a process that has a successor stops listening: its queue is empty then
+STAFF_BYTES = 192 * 1024  # of the lasting folder, where there is a console: staff's calls, upgrades
 CALLERS = 16  # one descriptor in so many is for the console's callers
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 
 
-def fronts_of(cfg: config.Config, extras: config.Extras, core: Intake, system: System) -> list[Front]:
+def fronts_of(cfg: config.Config, extras: config.Extras, core: Intake, system: System) -> list[Server]:
     """The platform's front, then the operator's; all share one half of the descriptors."""
     left = cfg.sockets // 2 - sum(plan.connections for plan in extras.fronts)
     if left < cfg.sockets // 4:
         raise config.ConfigError(f"front: at most {cfg.sockets // 4} connections beside the platform's")
     plans = [(cfg.listen, left), *((plan.listen, plan.connections) for plan in extras.fronts)]
-    return [Server(core, address, most, system) for address, most in plans]
+    shared = cfg.console is not None  # by it staff learn when a process that starts beside this one is ready
+    return [Server(core, address, most, system, shared) for address, most in plans]
 
 
-def plugs_of(cfg: config.Config, system: System) -> Plugs:
+def plugs_of(cfg: config.Config, seq: int, system: System) -> Plugs:
     """The platform's adapters, bound to what the configuration tells."""
     return Plugs(
         partners=lambda settled, released: Hosts(
@@ -58,122 +62,250 @@
             system=system,
         ),
         directory=lambda told, failed: Watch(
-            cfg.discovery, cfg.known.seq, told, failed, system, most_line=cfg.memory_bytes // 8
+            cfg.discovery, seq, told, failed, system, most_line=cfg.memory_bytes // 8
         ),
         ends=lambda confirmed: Notices(cfg.discovery, confirmed, system),
     )
 
 
+def list_of(binds: Binds | None, known: HostList) -> HostList:
+    """The newer one of the list that was handed over and the one that the configuration knows.
+
+    A list too long to be handed over is asked for anew: the known one may lack a drain that was heard of.
+    """
+    if binds is not None and binds.seq < 0:
+        return HostList(0, True, ())
+    if binds is None or binds.seq < known.seq or not binds.rows:
+        return known
+    hosts = tuple(listed_of(tuple(row), dest) for dest, rows in binds.rows.items() for row in rows)
+    return HostList(binds.seq, True, hosts)
+
+
 async def serve(cfg: config.Config, system: System, extras: config.Extras = config.NOTHING) -> int:
     """Run until SIGTERM or until the step loop breaks; the exit code."""
-    known, cfg = cfg.known, replace(cfg, known=HostList(cfg.known.seq, True, ()))
-    loop = asyncio.get_running_loop()
-    ended: asyncio.Future[int] = loop.create_future()
-    figures = Figures(cls.name for cls in cfg.settings.classes)
-    outs = Outs(cfg.state, system.disk)
-    desk = Desk(figures, outs)
-    console = await open_console(cfg, desk, system)
-    disk_bytes = cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES
-    journal = Journal(cfg.state, disk_bytes, system.disk, extras.durable)
-
-    def crashed(_error: BaseException) -> None:
-        if not ended.done():
-            ended.set_result(1)
-
-    driver = Driver(
-        settings=cfg.settings,
-        seed=cfg.seed,
-        journal=journal,
-        plugs=plugs_of(cfg, system),
-        clock=clock_of(system, cfg.state, loop.time),
-        listings=Listings(extras.awake, extras.rest_s),
-        figures=figures,
-        outs=outs,
-        crashed=crashed,
-    )
-    fronts = fronts_of(cfg, extras, driver, system)
-    terminated = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, terminated.set)
-    # Until the process is gone, also while it shuts down: a signal without a handler would end it.
-    loop.add_signal_handler(signal.SIGHUP, reload, driver, cfg, system, figures)
-    driver.start(known)
-    desk.driver = driver
-    del known  # with many destinations it is by far the largest thing here
-    for front in fronts:
-        await front.start()
-    LOG.info("%s serves at %s:%d", cfg.name, *cfg.listen)
-    desk.serving = True
-    stop = loop.create_task(shut_down(terminated, driver, fronts, desk))
-    both: set[asyncio.Future[Any]] = {stop, ended}
-    await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-    for front in fronts:
-        front.close()
-    if console is not None:
-        console.close()
-    driver.close()
-    journal.close()
-    if ended.done():
-        return ended.result()
-    stop.result()
-    return 0
-
-
-async def open_console(cfg: config.Config, desk: Desk, system: System) -> Console | None:
-    """Listen for on-call staff, before all that takes time; imported only where it is asked for."""
-    if cfg.console is None:
-        return None
-    from mallowlug.console.server import Console  # noqa: PLC0415
-
-    console = Console(desk, cfg.console, cfg.sockets // CALLERS, system)
-    await console.start()
-    LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
-    return console
-
-
-def reload(driver: Driver, started: config.Config, system: System, figures: Figures) -> None:
-    """SIGHUP: read the file again and go by its settings and to the discovery that it names.
-
-    What cannot be used changes nothing. Limits and addresses of this process count from the next start.
-    """
-    try:
-        cfg = config.load(system, reloading=True, shape=started.shape)
-    except config.ConfigError as error:
-        LOG.error("SIGHUP: the old configuration stays: %s", error)
-        figures.invalid += 1
-        return
-    figures.loaded += 1
-    LOG.info("SIGHUP: discovery at %s:%d", *cfg.discovery)
-    if cfg.listen != started.listen:
-        LOG.warning("SIGHUP: a changed address of the relay waits for the next start")
-    driver.change(cfg.settings)
-    driver.move(cfg.discovery)
-
-
-async def shut_down(terminated: asyncio.Event, driver: Driver, fronts: list[Front], desk: Desk) -> None:
-    """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
-
-    A connection that ends with a request unanswered loses a message. So connections are closed while the
-    server still listens: a request that crosses the close comes again on a new one and gets its answer.
-    """
-    await terminated.wait()
-    LOG.info("SIGTERM: shutting down")
-    desk.serving = False
-    start_s = asyncio.get_running_loop().time()
-    driver.shut_down(start_s + LAST_S)
-
-    def parted() -> bool:
-        return driver.idle and not any(front.clients for front in fronts)
-
-    await until(start_s + SERVE_S, parted, start_s + 0.5)
-    for front in fronts:
-        front.end_clients()
-    await until(start_s + LAST_S, parted, start_s + SERVE_S + 0.3)
-    LOG.info("SIGTERM: shut down")
-
-
-async def until(last_s: float, done: Callable[[], bool], first_s: float) -> None:
-    """Wait until it is done, between two times."""
-    loop = asyncio.get_running_loop()
-    while loop.time() < last_s and not (loop.time() >= first_s and done()):
-        await asyncio.sleep(LOOK_S)
+    return await Node(cfg, system, extras).run()
+
+
+class Node:
+    """One process of a relay, from its start to its exit code."""
+
+    def __init__(self, cfg: config.Config, system: System, extras: config.Extras) -> None:
+        self._known, self._cfg = cfg.known, replace(cfg, known=HostList(cfg.known.seq, True, ()))
+        self._system, self._extras = system, extras
+        self._loop = asyncio.get_running_loop()
+        self._ended: asyncio.Future[int] = self._loop.create_future()
+        self._terminated = asyncio.Event()
+        self._figures = Figures(cls.name for cls in cfg.settings.classes)
+        self._outs = Outs(cfg.state, system.disk)
+        self._desk = Desk(self._figures, self._outs)
+        self._desk.names = {listed.entry.host for listed in cfg.known.hosts} if cfg.console else set()
+        self._journal: Journal | None = None
+        self._fronts: list[Server] = []
+        self._shift: Shift | None = None
+
+    @property
+    def driver(self) -> Driver | None:
+        """The relay's core, once the journal is taken up."""
+        return self._desk.driver
+
+    @property
+    def told_to_end(self) -> bool:
+        """Whether SIGTERM has come."""
+        return self._terminated.is_set()
+
+    async def run(self) -> int:
+        """Come up, serve, shut down; the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._terminated.set)
+        # Until the process is gone, also while it shuts down: a signal without a handler would end it.
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
+        console = await self._open_console()
+        try:
+            return await self._serve()
+        finally:
+            for front in self._fronts:
+                front.close()
+            if console is not None:
+                console.close()
+            if self.driver is not None:
+                self.driver.close()
+            if self._journal is not None:
+                self._journal.close()
+            if self._shift is not None:
+                self._shift.leave()
+
+    async def _open_console(self) -> Console | None:
+        """Listen for on-call staff, before all that takes time; imported only where it is asked for."""
+        cfg = self._cfg
+        if cfg.console is None:
+            return None
+        from mallowlug.console.server import Console  # noqa: PLC0415
+        from mallowlug.upgrade.shift import Shift  # noqa: PLC0415
+
+        self._shift = Shift(cfg.state, self._system.disk, self)
+        console = Console(self._desk, cfg.console, cfg.sockets // CALLERS, self._system)
+        await console.start()
+        LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
+        return console
+
+    async def _serve(self) -> int:
+        shift = self._shift
+        if shift is None:
+            self.take_up(None)
+        else:
+            if not await self._first(shift.come_up()):
+                return 0
+            shift.take_up()
+        await self._listen()
+        LOG.info("%s serves at %s:%d", self._cfg.name, *self._cfg.listen)
+        self._desk.serving = True
+        stop = self._loop.create_task(self._shut_down())
+        waiting: set[asyncio.Future[Any]] = {stop, self._ended}
+        places = None if shift is None else self._loop.create_task(shift.serve())
+        if places is not None:
+            waiting.add(places)
+        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        if self._ended.done():
+            return self._ended.result()
+        if places is not None:
+            if places.done():
+                places.result()  # it never ends by itself: this raises
+            places.cancel()
+        stop.result()
+        return 0
+
+    async def _first(self, coming: Any) -> bool:
+        """Whether it ended before SIGTERM came."""
+        up, term = self._loop.create_task(coming), self._loop.create_task(self._terminated.wait())
+        await asyncio.wait({up, term}, return_when=asyncio.FIRST_COMPLETED)
+        term.cancel()
+        if up.done():
+            up.result()
+            return True
+        up.cancel()
+        return False
+
+    async def _listen(self) -> None:
+        driver = self.driver
+        assert driver is not None
+        self._fronts = fronts_of(self._cfg, self._extras, driver, self._system)
+        for front in self._fronts:
+            await front.start()
+            if self._shift is not None and self._shift.followed and not front.prevail():
+                LOG.warning("upgrade: new connections cannot be steered here; any process gets them")
+
+    def take_up(self, binds: Binds | None) -> Driver:
+        """Read the journal and go on from it."""
+        cfg, system = self._cfg, self._system
+        disk_bytes = cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES
+        self._journal = Journal(cfg.state, disk_bytes, system.disk, self._extras.durable)
+        known, self._known = list_of(binds, self._known), HostList(0, True, ())
+
+        def crashed(_error: BaseException) -> None:
+            if not self._ended.done():
+                self._ended.set_result(1)
+
+        driver = Driver(
+            settings=cfg.settings,
+            seed=cfg.seed,
+            journal=self._journal,
+            plugs=plugs_of(cfg, known.seq, system),
+            clock=clock_of(system, cfg.state, self._loop.time),
+            listings=Listings(self._extras.awake, self._extras.rest_s),
+            figures=self._figures,
+            outs=self._outs,
+            crashed=crashed,
+        )
+        driver.start(known, binds)
+        if self.driver is not None:
+            driver.sent_before = self.driver.now.sends
+        self._desk.driver = driver
+        return driver
+
+    def retire(self) -> Binds:
+        """Close the journal and let go of everything that is out."""
+        assert self.driver is not None and self._journal is not None
+        binds = self.driver.retire()
+        self._journal.close()
+        self._journal = None
+        return binds
+
+    def settled(self) -> bool:
+        """Whether the disk has taken all that the journal owes it."""
+        assert self._journal is not None
+        try:
+            self._journal.settle()
+        except JournalFullError:
+            return False
+        return True
+
+    def serve_by(self, core: Intake) -> None:
+        """What clients bring goes there from now on."""
+        for front in self._fronts:
+            front.core = core
+
+    def hear(self) -> None:
+        """The other process's staff may have put a host out or back."""
+        self._outs.refresh()
+
+    def reload(self) -> None:
+        """SIGHUP: read the file again and go by its settings and to the discovery that it names.
+
+        What cannot be used changes nothing. Limits and addresses of this process count from the next start.
+        """
+        if self.reread():
+            self._figures.loaded += 1
+        else:
+            self._figures.invalid += 1
+        if self._shift is not None:
+            self._shift.tell_hup(int(self._loop.time() * 1e6))
+
+    def reread(self) -> bool:
+        """Go by the file as it is now; False where it cannot be used."""
+        try:
+            cfg = config.load(self._system, reloading=True, shape=self._cfg.shape)
+        except config.ConfigError as error:
+            LOG.error("SIGHUP: the old configuration stays: %s", error)
+            return False
+        LOG.info("SIGHUP: discovery at %s:%d", *cfg.discovery)
+        if cfg.listen != self._cfg.listen:
+            LOG.warning("SIGHUP: a changed address of the relay waits for the next start")
+        self._cfg = replace(self._cfg, settings=cfg.settings, discovery=cfg.discovery, shape=cfg.shape)
+        if self.driver is not None:
+            self.driver.change(cfg.settings)
+            self.driver.move(cfg.discovery)
+        return True
+
+    async def _shut_down(self) -> None:
+        """After SIGTERM: serve on while calls can still end, then part from clients between their requests.
+
+        A connection that ends with a request unanswered loses a message. So connections are closed while the
+        server still listens: a request that crosses the close comes again on a new one and gets its answer.
+        A process that has a successor gets no new connections any more, and closes each behind an answer.
+        """
+        await self._terminated.wait()
+        LOG.info("SIGTERM: shutting down")
+        self._desk.serving = False
+        start_s = self._loop.time()
+        assert self.driver is not None
+        self.driver.shut_down(start_s + LAST_S)
+
+        def parted() -> bool:
+            return self.driver is not None and self.driver.idle and not any(f.clients for f in self._fronts)
+
+        if followed := self._shift is not None and self._shift.door is not None:
+            for front in self._fronts:
+                front.part()
+            await asyncio.sleep(SHUT_S)
+            for front in self._fronts:
+                front.shut()
+        await self._until(start_s + SERVE_S, parted, start_s + 0.5)
+        for front in self._fronts:
+            front.end_clients()
+        await self._until(start_s + LAST_S, parted, start_s + (0.0 if followed else SERVE_S + 0.3))
+        LOG.info("SIGTERM: shut down")
+
+    async def _until(self, last_s: float, done: Callable[[], bool], first_s: float) -> None:
+        """Wait until it is done, between two times."""
+        while self._loop.time() < last_s and not (self._loop.time() >= first_s and done()):
+            await asyncio.sleep(LOOK_S)
--- a/mallowlug/core/desk.py
+++ b/mallowlug/core/desk.py
@@ -15,6 +15,7 @@
     def __init__(self, figures: Figures, outs: Outs) -> None:
         self._figures, self._outs = figures, outs
         self.driver: Driver | None = None  # once the journal is taken up
+        self.names: set[str] = set()  # hosts that are known before the journal is taken up
         self.serving = False  # listening for clients, and not told to end
 
     @property
@@ -35,4 +36,6 @@
         return self._outs.back(host) if self._known(host) else f"unknown host: {host}"
 
     def _known(self, host: str) -> bool:
-        return host in self._outs.hosts or (self.driver is not None and self.driver.lists(host))
+        if host in self._outs.hosts:
+            return True
+        return host in self.names if self.driver is None else self.driver.lists(host)
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -22,6 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 OTHERS = 4  # blocks for the small files beside the journal: clock, overruled
+ABOUT = {"care": "host", "rules": "rules", "spool": "spool", "unspool": "spool"}  # what a record names
 MOST_RULES = 32  # sets of rules that are kept though no message lives by them
 MARK = b"\xa5mlg"
 FRAME = struct.Struct("<4sII")
@@ -113,6 +114,8 @@
         self.rules: dict[int, dict[str, Any]] = {}  # by number: under which messages were taken on
         self._rules: dict[int, bytes] = {}  # their raw records
         self._under: dict[str, int] = {}  # by message that is not over: the number of its rules
+        self.spools: dict[str, int] = {}  # by a door's file: how far it was adopted
+        self._spools: dict[str, bytes] = {}
         self.cares: dict[str, int] = {}  # by endpoint: until when (us) the last life owed it care
         self.recovered: dict[str, Recovered] = {}
         disk.unlink(self._spare)  # a compaction that did not end: the old log still counts
@@ -157,6 +160,12 @@
         if kind == "rules":
             self.rules[int(ref)] = dict(head[2])
             return
+        if kind == "spool":
+            self.spools[ref] = int(head[2])
+            return
+        if kind == "unspool":
+            self.spools.pop(ref, None)
+            return
         message = self.recovered.get(ref)
         if message is None:
             return
@@ -180,6 +189,12 @@
         elif kind == "rules":
             self._live_bytes -= len(self._rules.get(ref, b""))
             self._rules[ref] = raw
+        elif kind == "spool":
+            self._live_bytes -= len(self._spools.get(ref, b""))
+            self._spools[ref] = raw
+        elif kind == "unspool":
+            self._live_bytes -= len(self._spools.pop(ref, b""))
+            return
         elif kind == "care":
             self._live_bytes -= len(self._cares.get(ref, b""))
             self._cares[ref] = raw
@@ -193,14 +208,25 @@
             self._live[ref].append(raw)
         self._live_bytes += len(raw)
 
-    def accept(self, ref: str, fields: dict[str, Any], body: bytes) -> None:
-        """Take a message on, with room left for everything that may still be said of it."""
+    def accept(
+        self, ref: str, fields: dict[str, Any], body: bytes, spool: tuple[str, int] | None = None
+    ) -> None:
+        """Take a message on, with room left for everything that may still be said of it.
+
+        ``spool``: it comes from that file of a door, which is read up to there; both are kept, or neither.
+        """
         head = ["in", ref, fields]
         raw = framed(head, body)
         after = self._live_bytes + len(raw) + RESERVE * (len(self._live) + 1)
         if 2 * blocks(after) > self._budget:  # old and new log stand side by side during compaction
             raise JournalFullError("the budget is used up by open messages")
-        self._append([(head, raw)])
+        records = [(head, raw)]
+        if spool is not None:
+            mark: list[Any] = ["spool", *spool]
+            records.append((mark, framed(mark)))
+        self._append(records)
+        if spool is not None:
+            self.spools[spool[0]] = spool[1]
         try:
             self.sync()
         except JournalFullError:
@@ -225,6 +251,16 @@
         self._note(["rules", number, fields])
         return number
 
+    def adopted(self, name: str, at: int) -> None:
+        """A door's file is read up to there."""
+        self.spools[name] = at
+        self._note(["spool", name, at])
+
+    def unspool(self, name: str) -> None:
+        """A door's file is gone."""
+        if self.spools.pop(name, None) is not None:
+            self._note(["unspool", name])
+
     def sync(self) -> None:
         """What was written is safe from the loss of power; where the journal is not durable, nothing is done.
 
@@ -293,7 +329,7 @@
             self._append([])
             return True
         except JournalFullError as error:
-            about = {"care": "host", "rules": "rules"}.get(head[0], "message_id")
+            about = ABOUT.get(head[0], "message_id")
             LOG.error("journal: %s of %s not kept yet: %s", head[0], head[1], error, extra={about: head[1]})
             return False
 
@@ -326,7 +362,7 @@
         A durable one is synced before it takes the old one's name, and the name before it is relied on.
         """
         live = (raw for records in self._live.values() for raw in records)
-        data = b"".join((*self._rules.values(), *live, *self._cares.values()))
+        data = b"".join((*self._rules.values(), *live, *self._cares.values(), *self._spools.values()))
         small = len(data) < self._size or forced
         if not small or blocks(self._size) + blocks(len(data)) > self._budget:
             return
--- a/mallowlug/core/listings.py
+++ b/mallowlug/core/listings.py
@@ -49,6 +49,10 @@
         rows = (row for packed in self._rows.values() if word in packed for row in ROWS.decode(packed))
         return any(row[0] == host for row in rows)
 
+    def told(self) -> dict[int, list[Row]]:
+        """All rows, for a successor to go on from."""
+        return {dest: ROWS.decode(packed) for dest, packed in self._rows.items()}
+
     def __contains__(self, dest: int) -> bool:
         return dest in self._rows
 
--- a/mallowlug/core/outs.py
+++ b/mallowlug/core/outs.py
@@ -20,9 +20,10 @@
 MOST_ID = 128  # characters of a host's id
 
 
-def read_hosts(data: bytes) -> dict[str, None]:
-    """The hosts that a file names; a line that cannot be read is logged, and the others count."""
+def read_hosts(data: bytes) -> tuple[dict[str, None], bool]:
+    """The hosts that a file names, and whether all of it could be read; what could not be is logged."""
     found: dict[str, None] = {}
+    whole = True
     for line in data.split(b"\n"):
         if not line.strip():
             continue
@@ -30,12 +31,14 @@
             host = msgspec.json.decode(line, type=str)
         except msgspec.MsgspecError as error:
             LOG.error("hosts out: a line that cannot be read was left out: %s", error)
+            whole = False
             continue
         if 0 < len(host) <= MOST_ID:
             found[host] = None
         else:
             LOG.error("hosts out: a line that names no host was left out")
-    return found
+            whole = False
+    return found, whole
 
 
 class Outs:
@@ -44,23 +47,38 @@
     def __init__(self, folder: Path, disk: Disk) -> None:
         self._path, self._spare, self._disk = folder / FILE, folder / SPARE, disk
         self.changed: Callable[[str, bool], None] = lambda _host, _out: None
+        self.hosts: dict[str, None] = {}
         self.hosts = self._read()
 
     def _read(self) -> dict[str, None]:
+        """What the file says; what it cannot say puts no host back."""
         try:
-            return read_hosts(self._disk.read(self._path))
+            found, whole = read_hosts(self._disk.read(self._path))
         except FileNotFoundError:
-            return {}
+            return self.hosts
         except OSError as error:
             LOG.error("hosts out: not read: %s", error)
-            return {}
+            return self.hosts
+        return found if whole else self.hosts | found
+
+    def refresh(self) -> None:
+        """Hear what another process of this relay was told."""
+        before, self.hosts = self.hosts, self._read()
+        for host in before.keys() ^ self.hosts.keys():
+            LOG.warning("hosts out: %s is %s, as the other process was told", host, self._how(host))
+            self.changed(host, host in self.hosts)
+
+    def _how(self, host: str) -> str:
+        return "out by hand" if host in self.hosts else "back"
 
     def put(self, host: str) -> str:
         """Leave a host out; else why not. Twice is once."""
+        self.refresh()
         return "" if host in self.hosts else self._keep({**self.hosts, host: None}, host)
 
     def back(self, host: str) -> str:
         """A host may serve again, however often it was put out; else why not."""
+        self.refresh()
         if host not in self.hosts:
             return ""
         return self._keep({known: None for known in self.hosts if known != host}, host)
@@ -77,6 +95,6 @@
             LOG.error("hosts out: %s not kept: %s", host, error)
             return f"not kept: {error}"
         self.hosts = hosts
-        LOG.warning("hosts out: %s is %s", host, "out by hand" if host in hosts else "back")
+        LOG.warning("hosts out: %s is %s", host, self._how(host))
         self.changed(host, host in hosts)
         return ""
--- a/mallowlug/core/ports.py
+++ b/mallowlug/core/ports.py
@@ -91,6 +91,12 @@
     def bar(self, host: str, out: bool) -> None:
         """Begin no call to a host that is out by hand, whatever the list says, until it is back."""
 
+    def waits(self) -> dict[str, int]:
+        """By route: how long (us) it is still to be left alone."""
+
+    def wait(self, waits: dict[str, int]) -> None:
+        """Heed waits that a process before this one was told, as ``waits`` names them."""
+
     def batch(self, host: str) -> int:
         """How many messages a call there may carry."""
 
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -9,11 +9,12 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import asdict, dataclass, fields
 from itertools import islice
 from typing import Any
 
+from mallowlug.core.binds import Binds
 from mallowlug.core.clock import Clock
 from mallowlug.core.figures import Figures, Now
 from mallowlug.core.journal import Attempt, Journal, JournalFullError, Recovered
@@ -39,6 +40,7 @@
 LOG = logging.getLogger(__name__)
 REST_S = 0.25  # s between looks for destinations that may sleep
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
+REMEMBERED_ON = 512  # of them told to a successor
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
 UNKNOWN_US = 1 << 60  # us: an attempt so old that no window covers it
 DROPPED_S = 2.0  # s in which a class that is dropped is still taken on, by its rules
@@ -103,11 +105,16 @@
         self._numbers = self._numbered(settings)
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
         self._listings, self._outs = listings, outs
+        self.sent_before = 0  # messages that a core before this one, in the same process, has written whole
+        self._retired, self._seq = False, -1  # version of the list that is held
         self.listed = False  # whether a list is known, be it an old one
         self._rest: asyncio.TimerHandle | None = None  # when idle destinations are asked to sleep
 
-    def start(self, known: HostList) -> None:
-        """Take up what the last life left, then follow the list; called before clients are answered."""
+    def start(self, known: HostList, binds: Binds | None = None) -> None:
+        """Take up what the last life left, then follow the list; called before clients are answered.
+
+        ``binds``: what a process that has handed over wrote down beside the journal.
+        """
         self._ends.start()
         self._outs.changed = self._by_hand
         for host in self._outs.hosts:
@@ -125,8 +132,73 @@
                 self._use(listed.entry.dest)
         for host, until_us in self._journal.cares.items():
             self._inbox.append(api.Care(host, until_us - now_us))
+        if binds is not None:
+            self._bind(binds, now_us)
         self._step()
 
+    def _bind(self, binds: Binds, now_us: int) -> None:
+        """Go on from where the process before this one stood."""
+        self._partners.wait({route: until_us - now_us for route, until_us in binds.waits.items()})
+        for ref in binds.over:
+            self._remember(ref)
+        for host, until_us, quota, pace, rate in binds.learned:
+            self._inbox.append(api.Learned(host, max(0, until_us - now_us), quota, pace, rate))
+
+    def retire(self) -> Binds:
+        """Let go of everything for a successor; what binds it beside the journal. Calls out end here."""
+        now_us = self.clock()
+        learned = [(e.host, now_us + e.wait_us, e.quota, e.pace, e.rate) for e in self._module.learned()]
+        waits = {route: now_us + left_us for route, left_us in self._partners.waits().items()}
+        binds = Binds(waits, learned, self._seq, self._listings.told(), list(self._over)[-REMEMBERED_ON:])
+        self.close()
+        self._over.update(dict.fromkeys(self._held))
+        self._held.clear()
+        self._retired = True
+        return binds
+
+    def knew(self, ref: str) -> bool:
+        """Whether a message is, or was not long ago, taken on."""
+        return ref in self._held or ref in self._over
+
+    @property
+    def spools(self) -> Mapping[str, int]:
+        """By a door's file: how far it is adopted."""
+        return self._journal.spools
+
+    def forget_spool(self, name: str) -> None:
+        """A door's file is gone."""
+        self._journal.unspool(name)
+
+    def adopt(self, handed: Handed, body: bytes, rules: dict[str, Any], spool: tuple[str, int]) -> bool:
+        """Take on what a door has taken on already; False where the disk takes nothing now."""
+        if self.knew(handed.id):
+            self._journal.adopted(*spool)
+            return True
+        number = self._journal.rule(rules, self._numbers.values())
+        if (own := self._rules(number)) is None:  # of another version
+            self._journal.adopted(*spool)
+            self._ends.send(Notice(handed.id, "dead"))
+            return True
+        try:
+            fields = {name: getattr(handed, name) for name in FIELDS}
+            self._journal.accept(handed.id, fields | {"rules": number}, body, spool)
+        except JournalFullError as error:
+            LOG.warning("door: a message waits in its file: %s", error, extra={"message_id": handed.id})
+            return False
+        self._held[handed.id] = Held(handed, body, own.cls.effect)
+        self._use(handed.dest)
+        self._post(self._arrival(handed, self.clock(), rules=own))
+        return True
+
+    def rules_told(self, name: str) -> dict[str, Any]:
+        """A class's rules as the journal keeps them."""
+        return told_of(self._class(name), self._set.max_attempts)
+
+    def count(self, cls: str, answer: Answer) -> None:
+        """What is not taken on has ended at the door."""
+        if not isinstance(answer, Taken):
+            self._figures.ended(cls, "deferred" if isinstance(answer, Refused) else "errored")
+
     def _numbered(self, settings: api.Settings) -> dict[str, int]:
         """By class: the number of its rules in the journal; classes that are dropped keep theirs."""
         numbers = dict(self._numbers)
@@ -143,9 +215,12 @@
         before, self._set = self._classes, settings
         self._classes = {cls.name: cls for cls in settings.classes}
         self._dropped = {name: cls for name, cls in before.items() if name not in self._classes}
-        self._numbers = {name: self._numbers[name] for name in before}
-        self._numbers = self._numbered(settings)
+        if not self._retired:
+            self._numbers = {name: self._numbers[name] for name in before}
+            self._numbers = self._numbered(settings)
         self._figures.know(self._classes)
+        if self._retired:
+            return
         self._partners.change(settings.kinds)
         self._post(api.Changed(settings))
         asyncio.get_running_loop().call_later(DROPPED_S, self._drop, settings)
@@ -157,12 +232,14 @@
 
     def move(self, discovery: Address) -> None:
         """The platform is to be found at another address from now on."""
+        if self._retired:
+            return
         self._directory.move(discovery)
         self._ends.move(discovery)
 
     def shut_down(self, stop_s: float) -> None:
         """From now on only calls are started that end by then; the rest stays in the journal."""
-        self._stop_s = stop_s
+        self._stop_s = stop_s if self._stop_s is None else min(stop_s, self._stop_s)
 
     def close(self) -> None:
         """Let go of everything."""
@@ -173,10 +250,15 @@
         self._ends.close()
         self._partners.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is out."""
+        return self._partners.busy
+
     @property
     def idle(self) -> bool:
         """Whether no call is out and no notice is unconfirmed."""
-        return not self._partners.busy and not self._ends.owed and not self._inbox
+        return self._retired or (not self.busy and not self._ends.owed and not self._inbox)
 
     @property
     def refusal(self) -> Refused:
@@ -189,34 +271,43 @@
 
     def _by_hand(self, host: str, out: bool) -> None:
         """A host is out or back: that binds calls at once and the module with its next step."""
+        if self._retired:
+            return
         self._partners.bar(host, out)
         self._post(api.ByHand(host, out))
 
     @property
     def now(self) -> Now:
         """What a scrape reads."""
-        size = self._listings.hosts
-        return Now(self._partners.written, len(self._held), size, min(size, self._module.avoided()))
+        size, sent = self._listings.hosts, self.sent_before + self._partners.written
+        return Now(sent, len(self._held), size, min(size, self._module.avoided()))
 
     def hand_in(self, handed: Handed, body: bytes) -> Answer:
         """Take a message on, or say why not; what is not taken on has ended here."""
-        answer = self._take_on(handed, body)
-        if not isinstance(answer, Taken):
-            self._figures.ended(handed.cls, "deferred" if isinstance(answer, Refused) else "errored")
+        answer = self.misfit(handed) or self._take_on(handed, body)
+        self.count(handed.cls, answer)
         return answer
 
-    def _take_on(self, handed: Handed, body: bytes) -> Answer:
-        """Take a message on, journaled, or say why not; then nothing was kept.
+    def misfit(self, handed: Handed) -> Answer | None:
+        """Why there is no place for a message, which the module would drop unseen or hold in vain; else None.
 
-        An id that is known is the same request once more, on a new connection: it is taken on already. A
-        destination that nobody lists is refused: the list is seconds late, so it may be known when the client
-        comes again; taken on, its message would be held in vain. Without any list all are known.
+        A destination that nobody lists is refused: the list is seconds late, so it may be known when the
+        client comes again. Without any list all are known.
         """
-        if reason := self._misfit(handed):
-            return Failed(reason)
+        if handed.cls not in self._classes and handed.cls not in self._dropped:
+            return Failed("unknown class")
+        if self._class(handed.cls).effect is api.Effect.KEYED and not handed.key:
+            return Failed("k is missing")
         if len(self._listings) and handed.dest not in self._listings:
             return self.refusal
-        if handed.id in self._held or handed.id in self._over:
+        return None
+
+    def _take_on(self, handed: Handed, body: bytes) -> Answer:
+        """Take a message on, journaled, or say why not; then nothing was kept.
+
+        An id that is known is the same request once more, on a new connection: it is taken on already.
+        """
+        if self.knew(handed.id):
             return Taken()
         if len(self._held) >= self._set.hold_cap:
             return self.refusal
@@ -233,13 +324,6 @@
         self._post(self._arrival(handed, self.clock(), rules=rules))
         return Taken()
 
-    def _misfit(self, handed: Handed) -> str:
-        """Why the settings have no place for a message, which the module would drop unseen; else empty."""
-        if handed.cls not in self._classes and handed.cls not in self._dropped:
-            return "unknown class"
-        cls = self._class(handed.cls)
-        return "k is missing" if cls.effect is api.Effect.KEYED and not handed.key else ""
-
     def _class(self, name: str) -> api.MessageClass:
         return self._classes.get(name) or self._dropped[name]
 
@@ -291,7 +375,7 @@
 
     def _listed(self, news: HostList, kind: api.RosterKind | None = None) -> None:
         """News of the list binds calls at once and the module with its next step."""
-        heard = self._listings.follow(news, self._now_s())
+        heard, self._seq = self._listings.follow(news, self._now_s()), news.seq
         self.listed |= kind is None or len(self._listings) > 0
         kind = kind or (api.RosterKind.WHOLE if news.whole else api.RosterKind.CHANGES)
         self._tell(heard, kind)
@@ -366,6 +450,8 @@
 
     def _post(self, event: api.Event) -> None:
         """Put an event before the module at its next step, one round after the last at the earliest."""
+        if self._retired:
+            return
         self._inbox.append(event)
         if self._timer is None:
             loop = asyncio.get_running_loop()
--- a/mallowlug/fronts/resp2.py
+++ b/mallowlug/fronts/resp2.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+import socket
 from collections import OrderedDict
 
 from mallowlug.core.model import Address, Answer, Handed, Refused, Taken
@@ -207,7 +208,8 @@
             answers.append(b"-ERR internal error\r\n")
             self._errors = MOST_ERRORS
         transport.write(b"".join(answers))
-        if self._errors >= MOST_ERRORS or (self.ending and not self.begun):
+        leaves = self.ending or (self._server.parting and not more)
+        if self._errors >= MOST_ERRORS or (leaves and not self.begun):
             transport.close()
             return
         self._server.heard(self)
@@ -246,8 +248,13 @@
     with a part of a request, and those that wait between requests.
     """
 
-    def __init__(self, core: Intake, address: Address, most: int, system: System) -> None:
-        self._core, self._address, self.most, self._system = core, address, most, system
+    def __init__(
+        self, core: Intake, address: Address, most: int, system: System, shared: bool = False
+    ) -> None:
+        self.core, self._address, self.most, self._system = core, address, most, system
+        self._shared = shared  # whether another process of this relay may listen beside this one
+        self._sock: socket.socket | None = None
+        self.parting = False
         self.buffer = memoryview(bytearray(READ))
         self.silent: OrderedDict[Client, float] = OrderedDict()  # by when they connected
         self.asking: OrderedDict[Client, float] = OrderedDict()  # by when their request began
@@ -266,11 +273,24 @@
         loop = asyncio.get_running_loop()
         # The loop takes on as many connections in one turn as its backlog has room for, before any is counted
         # here: a burst would use up the descriptors. The kernel's own backlog stays long.
-        sock = self._system.listener(self._address)
+        sock = self._sock = self._system.listener(self._address, self._shared)
         self._server = await loop.create_server(lambda: Client(self), sock=sock, backlog=MOST_ACCEPTS)
         sock.listen(512)
         self._sweep()
 
+    def prevail(self) -> bool:
+        """Beside a process that listens at this address too: every new connection comes here from now on."""
+        return self._sock is not None and self._system.steer(self._sock)
+
+    def part(self) -> None:
+        """Close each connection behind its next answer: its client has nothing on the way then."""
+        self.parting = True
+
+    def shut(self) -> None:
+        """Stop listening; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
     def joined(self, client: Client) -> None:
         """A new connection; over the bound another one goes, for descriptors are bounded."""
         if self.clients >= self.most:
@@ -340,12 +360,12 @@
         if command != b"ENQUEUE":
             return b"-ERR unknown command\r\n"
         try:
-            handed, body = handed_of(request, self._core.clock())
+            handed, body = handed_of(request, self.core.clock())
         except ValueError as error:
             return b"-ERR %s\r\n" % str(error).encode()
         if self.refusing:
-            return said(self._core.refusal)
-        return said(self._core.hand_in(handed, body))
+            return said(self.core.refusal)
+        return said(self.core.hand_in(handed, body))
 
 
 def said(answer: Answer) -> bytes:
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -200,6 +200,18 @@
         listed = self._listed.get(host)
         return 1 if listed is None else self._kind(listed).batch
 
+    def waits(self) -> dict[str, int]:
+        """By route: how long (us) it is still to be left alone."""
+        left = {route: int((until_s - self._now_s()) * 1e6) for route, until_s in self._waits.items()}
+        return {route: left_us for route, left_us in left.items() if left_us > 0}
+
+    def wait(self, waits: dict[str, int]) -> None:
+        """Heed waits that a process before this one was told."""
+        now_s = self._now_s()
+        for route, left_us in waits.items():
+            until_s = now_s + min(left_us, MOST_WAIT_MS * 1000) / 1e6
+            self._waits[route] = max(self._waits.get(route, 0.0), until_s)
+
     def wait_left_us(self, host: str) -> int:
         """How long the host is still to be left alone."""
         return max(0, int((self._waits.get(self._route(host), 0.0) - self._now_s()) * 1e6))
--- a/mallowlug/rig/sim/disk.py
+++ b/mallowlug/rig/sim/disk.py
@@ -35,6 +35,7 @@
     path: Path
     file: File
     owner: Life | None
+    locked: bool = False
 
 
 class SimDisk:
@@ -144,6 +145,21 @@
             self._changes.append(lambda names: names.pop(path, None))
         self._leave(life, how)
 
+    def lock(self, fd: int) -> bool:
+        """Lock the file; False where another descriptor has it."""
+        file = self._file(fd)
+        life, how = self._begin("lock")
+        held = [entry for entry in self._open.values() if entry.locked and entry.file is file]
+        self._open[fd].locked = not held or held == [self._open[fd]]
+        self._leave(life, how)
+        return self._open[fd].locked
+
+    def names(self, _folder: Path) -> list[str]:
+        """What the machine's one folder holds."""
+        life, how = self._begin("names")
+        self._leave(life, how)
+        return [path.name for path in self.files if path.parent == _folder]
+
     def sync(self, fd: int) -> None:
         """What the file holds is safe from the loss of the machine."""
         life, how = self._begin("sync")
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -78,7 +78,7 @@
         """A simulated socket."""
         return cast(socket.socket, self._net.stream(family))
 
-    def listener(self, address: tuple[str, int]) -> socket.socket:
+    def listener(self, address: tuple[str, int], shared: bool = False) -> socket.socket:
         """A simulated socket that listens."""
         life = LIFE.get()
         assert isinstance(life, SimLife)
@@ -86,6 +86,11 @@
         return cast(socket.socket, self._net.listener(address))
 
 
+    def steer(self, _sock: socket.socket) -> bool:
+        """A simulated address has one socket."""
+        return False
+
+
 def name_of(call: str, data: bytes) -> str:
     """A system call's name for those who count what was struck: with what it writes."""
     if call == "write":
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -7,14 +7,17 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import socket
+import struct
 import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Protocol
 
 APPEND, FRESH = os.O_RDWR | os.O_CREAT | os.O_APPEND, os.O_TRUNC
+SO_ATTACH_REUSEPORT_CBPF, BPF_RETURN = 51, 0x06  # Linux, socket(7) and linux/filter.h
 BOOT = Path("/proc/sys/kernel/random/boot_id")  # Linux, proc(5)
 
 
@@ -45,6 +48,12 @@
     def sync(self, fd: int) -> None:
         """What the file holds is safe from the loss of the machine's power."""
 
+    def lock(self, fd: int) -> bool:
+        """Lock the file against other descriptors, until this one is closed; False where another has it."""
+
+    def names(self, folder: Path) -> list[str]:
+        """What a folder holds."""
+
     def sync_folder(self, path: Path) -> None:
         """The names in a folder are safe from it."""
 
@@ -69,8 +78,14 @@
     def stream(self, family: int) -> socket.socket:
         """A TCP socket that does not block and does not wait for more to send; not connected."""
 
-    def listener(self, address: tuple[str, int]) -> socket.socket:
-        """A TCP socket that is bound and listens; ``OSError`` where the address can't be had."""
+    def listener(self, address: tuple[str, int], shared: bool = False) -> socket.socket:
+        """A TCP socket that is bound and listens; ``OSError`` where the address can't be had.
+
+        ``shared``: other processes may listen there too, if theirs are shared as well.
+        """
+
+    def steer(self, sock: socket.socket) -> bool:
+        """Of two sockets that share an address, the one that listened later gets every new connection."""
 
 
 def family_of(address: tuple[str, int]) -> int:
@@ -111,6 +126,20 @@
         """Remove a file; one that is not there is no error."""
         path.unlink(missing_ok=True)
 
+    @staticmethod
+    def lock(fd: int) -> bool:
+        """Lock the file; False where another descriptor has it."""
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
+
+    @staticmethod
+    def names(folder: Path) -> list[str]:
+        """What a folder holds."""
+        return os.listdir(folder)
+
     @staticmethod
     def sync_folder(path: Path) -> None:
         """The names in a folder are safe from the loss of the machine's power."""
@@ -145,9 +174,22 @@
         return sock
 
     @staticmethod
-    def listener(address: tuple[str, int]) -> socket.socket:
+    def listener(address: tuple[str, int], shared: bool = False) -> socket.socket:
         """A TCP socket that is bound and listens; ``OSError`` where the address can't be had."""
-        return socket.create_server(address, family=family_of(address))
+        return socket.create_server(address, family=family_of(address), reuse_port=shared)
+
+    @staticmethod
+    def steer(sock: socket.socket) -> bool:
+        """A filter for the sockets of one address that names the second; without one, any is drawn."""
+        import ctypes  # noqa: PLC0415  # takes memory, and is needed only in an upgrade
+
+        program = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RETURN, 0, 0, 1))
+        told = struct.pack("HxxxxxxP", 1, ctypes.addressof(program))
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, told)
+        except OSError:
+            return False
+        return True
 
 
 POSIX = Posix()
--- /dev/null
+++ b/mallowlug/upgrade/locks.py
@@ -0,0 +1,82 @@
+"""Who owns the messages: locks on files of the lasting folder, which the kernel takes away with a process.
+
+``owner`` is held by the one process that may read and write the journal. Whoever wants to follow it holds
+``next`` until it has ``owner``: so the owner sees that somebody waits, and one that has let go of ``owner``
+takes it back only if nobody waits any more. No PID and no clock decides anything.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from mallowlug.system import APPEND, Disk
+
+
+class Lock:
+    """One file's lock; the file stays where it is, empty."""
+
+    def __init__(self, path: Path, disk: Disk) -> None:
+        self._path, self._disk, self._fd = path, disk, -1
+
+    @property
+    def held(self) -> bool:
+        """Whether this process has it."""
+        return self._fd >= 0
+
+    def take(self) -> bool:
+        """Take it, if nobody has it; whether it is held now. ``OSError`` where the file cannot be had."""
+        if self.held:
+            return True
+        fd = self._disk.open(self._path, APPEND)
+        if self._disk.lock(fd):
+            self._fd = fd
+        else:
+            self._disk.close(fd)
+        return self.held
+
+    def free(self) -> None:
+        """Let it go."""
+        if self.held:
+            fd, self._fd = self._fd, -1
+            self._disk.close(fd)
+
+
+class Succession:
+    """This process's place in the line of those that own the folder, one after the other."""
+
+    def __init__(self, folder: Path, disk: Disk) -> None:
+        self._owner, self._next = Lock(folder / "owner", disk), Lock(folder / "next", disk)
+
+    @property
+    def owns(self) -> bool:
+        """Whether this process owns the messages."""
+        return self._owner.held
+
+    def step_up(self) -> bool:
+        """Wait in line, by being called again; True once this process owns the messages."""
+        if self._next.take() and self._owner.take():
+            self._next.free()
+        return self.owns
+
+    def wanted(self) -> bool:
+        """Whether another process waits to follow this one."""
+        if not self._next.take():
+            return True
+        self._next.free()
+        return False
+
+    def hand_over(self) -> None:
+        """Let the messages go to the one that waits."""
+        self._owner.free()
+
+    def take_back(self) -> bool:
+        """Own the messages again, if the one that was to follow is gone and nobody else waits."""
+        if self._next.take():
+            self._owner.take()
+            self._next.free()
+        return self.owns
+
+    def leave(self) -> None:
+        """Let go of everything; the kernel does the same where a process is killed."""
+        self._next.free()
+        self._owner.free()
--- /dev/null
+++ b/mallowlug/upgrade/shift.py
@@ -0,0 +1,175 @@
+"""The places of one process in an upgrade, one after the other: waiting, owner, door.
+
+Nothing here opens a socket or knows how a relay is put together: ``Staff`` does both. What two processes have
+to hear of each other's staff (hosts out by hand, a SIGHUP) passes through small files that both look at.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+from typing import Protocol
+
+from mallowlug.core.binds import Binds
+from mallowlug.core.ports import Intake
+from mallowlug.core.relay import Driver
+from mallowlug.system import Disk, save
+from mallowlug.upgrade import binds as told
+from mallowlug.upgrade.locks import Succession
+from mallowlug.upgrade.spool import Adoption, Door
+
+LOG = logging.getLogger(__name__)
+STEP_S, REST_S = 0.02, 0.1  # s between looks while two processes may be there, and else
+DRAIN_S = 1.2  # s for calls that are out to end before the messages pass on; ready is due after 6 s
+BESIDE_S = 15.0  # s after a handover in which the other process is counted on
+HUP = "hup"  # file: changes with each SIGHUP that either process got
+
+
+class Staff(Protocol):
+    """What the process does for its places."""
+
+    @property
+    def driver(self) -> Driver | None:
+        """The relay's core, while this process owns the messages; then as it was."""
+
+    def take_up(self, binds: Binds | None) -> Driver:
+        """Read the journal and go on from it."""
+
+    def retire(self) -> Binds:
+        """Close the journal and let go of everything that is out."""
+
+    def serve_by(self, core: Intake) -> None:
+        """What clients bring goes there from now on."""
+
+    def settled(self) -> bool:
+        """Whether the disk has taken all that the journal owes it."""
+
+    def hear(self) -> None:
+        """The other process's staff may have put a host out or back."""
+
+    def reread(self) -> bool:
+        """The other process got a SIGHUP."""
+
+    @property
+    def told_to_end(self) -> bool:
+        """Whether SIGTERM has come."""
+
+
+class Shift:
+    """One process's way through its places."""
+
+    def __init__(self, folder: Path, disk: Disk, staff: Staff) -> None:
+        self._folder, self._disk, self._staff = folder, disk, staff
+        self.line = Succession(folder, disk)
+        self._adoption, self._hup = Adoption(folder, disk), self._read_hup()
+        self._beside_s = 0.0  # loop's time until which another process is counted on
+        self.door: Door | None = None
+        self.followed = False  # whether this process took over from one that was there
+
+    async def come_up(self) -> None:
+        """Wait until this process owns the messages."""
+        self.followed = not self._step_up()
+        while not self.line.owns:
+            await asyncio.sleep(STEP_S / 2)
+            self._staff.hear()
+            self._step_up()
+        if self._hup != (now := self._read_hup()):
+            self._hup = now
+            self._staff.reread()
+
+    def _step_up(self) -> bool:
+        try:
+            return self.line.step_up()
+        except OSError as error:
+            LOG.error("upgrade: the folder's locks cannot be had: %s", error)
+            return False
+
+    def take_up(self) -> None:
+        """Go on from what the one before has left."""
+        self._adoption.tidy()
+        driver = self._staff.take_up(told.take(self._folder, self._disk))
+        told.drop(self._folder, self._disk)
+        self._adoption.look(driver)
+        self._staff.serve_by(driver)
+        self._beside_s = asyncio.get_running_loop().time() + BESIDE_S
+
+    async def serve(self) -> None:
+        """From owner to door and back, for as long as the process lasts."""
+        while True:
+            await self._own()
+            await self._hand_over()
+            await self._keep_the_door()
+            LOG.warning("upgrade: the process that was to follow is gone; taking the messages back")
+            self.take_up()
+
+    async def _own(self) -> None:
+        """Serve until somebody waits to follow."""
+        loop = asyncio.get_running_loop()
+        while not self.line.wanted():
+            beside = loop.time() < self._beside_s
+            if self._staff.driver is not None and self._adoption.look(self._staff.driver):
+                beside, self._beside_s = True, max(self._beside_s, loop.time() + BESIDE_S / 5)
+            if beside:
+                self._share()
+            await asyncio.sleep(STEP_S if beside else REST_S)
+
+    async def _hand_over(self) -> None:
+        """Start nothing more, let end what is out, write down what binds, let go."""
+        driver, loop = self._staff.driver, asyncio.get_running_loop()
+        assert driver is not None
+        LOG.info("upgrade: a process waits to follow; letting calls end")
+        start_s = loop.time()
+        driver.shut_down(start_s)
+        while (driver.busy and loop.time() < start_s + DRAIN_S) or not self._staff.settled():
+            self._share()
+            await asyncio.sleep(STEP_S / 4)
+        self._adoption.look(driver)
+        self.door = Door(self._folder, self._disk, driver)
+        told.keep(self._folder, self._disk, self._staff.retire())
+        self._staff.serve_by(self.door)
+        self.line.hand_over()
+        LOG.info("upgrade: handed over after %.2f s", loop.time() - start_s)
+
+    async def _keep_the_door(self) -> None:
+        """Pass on what clients still bring, until the end, or until nobody follows."""
+        while self._staff.told_to_end or not self._take_back():
+            self._share()
+            await asyncio.sleep(STEP_S)
+        if self.door is not None:
+            self.door.close()
+            self.door = None
+
+    def _take_back(self) -> bool:
+        try:
+            return self.line.take_back()
+        except OSError as error:
+            LOG.error("upgrade: the folder's locks cannot be had: %s", error)
+            return False
+
+    def _share(self) -> None:
+        """Hear what the other process's staff were told."""
+        self._staff.hear()
+        if self._hup != (now := self._read_hup()):
+            self._hup = now
+            self._staff.reread()
+
+    def _read_hup(self) -> bytes:
+        try:
+            return self._disk.read(self._folder / HUP)
+        except OSError:
+            return b""
+
+    def tell_hup(self, mark: int) -> None:
+        """This process got a SIGHUP: the other one hears of it."""
+        self._hup = f"{mark}".encode()
+        try:
+            save(self._disk, self._folder / HUP, self._hup)
+        except OSError as error:
+            LOG.error("upgrade: the other process does not hear of the SIGHUP: %s", error)
+
+    def leave(self) -> None:
+        """The process ends."""
+        if self.door is not None:
+            self.door.close()
+        self.line.leave()
--- /dev/null
+++ b/mallowlug/upgrade/spool.py
@@ -0,0 +1,164 @@
+"""What the former owner's clients still bring: written to files of its own, from which the owner takes it.
+
+The former owner (the door) appends each message before it says that it is taken on, and holds the lock of the
+file that it writes. The owner adopts what is there and notes in the journal, in the same write, how far it
+has read: an owner that is killed neither loses one nor adopts one twice. A file whose lock is free has no
+writer any more; it is removed once it is read to its end.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from mallowlug.core.journal import framed, record_at
+from mallowlug.core.model import Answer, Handed, Refused, Taken
+from mallowlug.core.relay import FIELDS, Driver
+from mallowlug.system import APPEND, Disk
+from mallowlug.upgrade.locks import Lock
+
+LOG = logging.getLogger(__name__)
+PREFIX, NEW = "door.", "new."
+MOST_FILE, MOST_FILES = 32 * 1024, 3  # bytes of one file before the next is begun; files that are not adopted
+
+
+class Door:
+    """Takes messages on for the owner; what a front talks to once its process owns nothing any more."""
+
+    def __init__(self, folder: Path, disk: Disk, former: Driver) -> None:
+        self._folder, self._disk, self._former = folder, disk, former
+        self._lock: Lock | None = None
+        self._fd, self._size = -1, 0
+        self._taken: set[str] = set()
+
+    def clock(self) -> int:
+        """Wall time in microseconds."""
+        return self._former.clock()
+
+    @property
+    def refusal(self) -> Refused:
+        """A refusal at the door, with when to come back."""
+        return self._former.refusal
+
+    def hand_in(self, handed: Handed, body: bytes) -> Answer:
+        """Write the message down for the owner, or say why not."""
+        if handed.id in self._taken or self._former.knew(handed.id):
+            return Taken()
+        answer = self._former.misfit(handed) or self._spool(handed, body)
+        self._former.count(handed.cls, answer)
+        return answer
+
+    def _spool(self, handed: Handed, body: bytes) -> Answer:
+        fields = {name: getattr(handed, name) for name in FIELDS}
+        record = framed(["in", handed.id, fields, self._former.rules_told(handed.cls)], body)
+        try:
+            if not self._room(len(record)):
+                return self.refusal
+            written = self._disk.write(self._fd, record)
+            if written < len(record):
+                self._disk.truncate(self._fd, self._size)
+                return self.refusal
+        except OSError as error:
+            LOG.warning("door: a message was refused: %s", error, extra={"message_id": handed.id})
+            return self.refusal
+        self._size += written
+        self._taken.add(handed.id)
+        return Taken()
+
+    def _room(self, size: int) -> bool:
+        """Whether there is a file to write to; a full one is left to the owner, and the next one begun."""
+        if self._lock is not None and self._size + size <= MOST_FILE:
+            return True
+        if sum(name.startswith(PREFIX) for name in self._disk.names(self._folder)) >= MOST_FILES:
+            return False
+        self.close()
+        name = f"{PREFIX}{self.clock()}"
+        path, new = self._folder / name, self._folder / f"{NEW}{name}"
+        lock = Lock(new, self._disk)
+        if not lock.take():
+            return False
+        # Locked before it has its name: else the owner might find it free, take it for left, and remove it.
+        self._disk.replace(new, path)
+        self._lock, self._fd, self._size = lock, self._disk.open(path, APPEND), 0
+        return True
+
+    def close(self) -> None:
+        """Write no more; the owner reads the rest."""
+        if self._lock is not None:
+            self._disk.close(self._fd)
+            self._lock.free()
+        self._lock, self._fd, self._size = None, -1, 0
+
+
+@dataclass(frozen=True, slots=True)
+class Spooled:
+    """One message of a file, and where the next one begins."""
+
+    handed: Handed
+    body: bytes
+    rules: dict[str, Any]
+    end: int
+
+
+def spooled_at(data: bytes, at: int) -> Spooled | None:
+    """The message that begins there, once it is whole; ``ValueError`` where what is there is no message."""
+    if (found := record_at(data, at)) is None:
+        return None
+    payload, end = found
+    line, _, body = payload.partition(b"\n")
+    try:
+        _kind, _ref, fields, rules = msgspec.json.decode(line)
+        return Spooled(Handed(**fields), body, dict(rules), end)
+    except (msgspec.MsgspecError, TypeError) as error:
+        raise ValueError(f"not a message: {error}") from None
+
+
+class Adoption:
+    """The owner's side: adopts what doors have written."""
+
+    def __init__(self, folder: Path, disk: Disk) -> None:
+        self._folder, self._disk = folder, disk
+
+    def tidy(self) -> None:
+        """Remove what a door had begun when it was killed; one that lives finds out, and refuses."""
+        for name in self._disk.names(self._folder):
+            if name.startswith(NEW):
+                self._disk.unlink(self._folder / name)
+
+    def look(self, driver: Driver) -> bool:
+        """Adopt what is there now; whether any file was there."""
+        names = sorted(name for name in self._disk.names(self._folder) if name.startswith(PREFIX))
+        for name in names:
+            try:
+                self._adopt(name, driver)
+            except OSError as error:
+                LOG.error("door: %s cannot be read: %s", name, error)
+        for name in [name for name in driver.spools if name not in names]:
+            driver.forget_spool(name)
+        return bool(names)
+
+    def _adopt(self, name: str, driver: Driver) -> None:
+        """Read a file on from where the journal says; first look whether its writer lives, then read."""
+        lock = Lock(self._folder / name, self._disk)
+        ended = lock.take()
+        try:
+            data, at = self._disk.read(self._folder / name), driver.spools.get(name, 0)
+            try:
+                while (message := spooled_at(data, at)) is not None:
+                    if not driver.adopt(message.handed, message.body, message.rules, (name, message.end)):
+                        return  # the disk takes nothing now: it stays in its file
+                    at = message.end
+            except ValueError as error:
+                LOG.error("door: %s is damaged at %d: %s", name, at, error)
+            if ended:
+                if torn := len(data) - at:
+                    LOG.warning("door: a torn tail of %d bytes in %s, never taken on", torn, name)
+                self._disk.unlink(self._folder / name)
+                driver.forget_spool(name)
+        finally:
+            lock.free()
+
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -16,8 +16,8 @@
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
     Action, Arrival, Asleep, ByHand, Care, Changed, CloseIdle, Effect, Entry, Event, Fail, Idle, Kind,
-    Listing, Log, Outcome, Refuse, Released, Roster, RosterKind, Rules, Send, Settings, Subscribe, TimerDue,
-    Verdict, Wake, Withdrawn,
+    Learned, Listing, Log, Outcome, Refuse, Released, Roster, RosterKind, Rules, Send, Settings, Subscribe,
+    TimerDue, Verdict, Wake, Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Manner, Message, Record, Tally
 
@@ -126,6 +126,8 @@
                 self.wake_us = -1  # it has come, be it a little early: no other would
             elif isinstance(event, Idle):
                 idle.append(event.dest)
+            elif isinstance(event, Learned) and event.host in self.endpoints:
+                self._go_on_from(self.endpoints[event.host], event)
             elif isinstance(event, Changed):
                 self._change(event.settings)
             elif isinstance(event, ByHand):
@@ -218,6 +220,25 @@
         self.dests[old.dest].listed_anew()
         self.look[old.dest] = None
 
+    def learned(self) -> list[Learned]:
+        """What a successor may go on from."""
+        return [
+            Learned(
+                e.host, max(0, e.limit.wait_us - self.now), e.quota,
+                self._pace(e.limit) if e.limit.pace < math.inf else 0.0, e.limit.rate,
+            )
+            for e in self.endpoints.values() if e.listing is not Listing.GONE
+        ]  # fmt: skip
+
+    def _go_on_from(self, endpoint: Endpoint, event: Learned) -> None:
+        """The process before this one had come so far here."""
+        limit = endpoint.limit
+        limit.wait_us = max(limit.wait_us, self.now + event.wait_us)
+        endpoint.quota = max(FLOOR_SHARE * endpoint.start, min(endpoint.start, event.quota))
+        limit.rate = event.rate
+        if event.pace:
+            limit.pace, limit.pace_us = event.pace, self.now
+
     def _forget(self) -> None:
         """Let go of hosts that are gone and of destinations that nothing speaks of: ids are ever new.
 
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -275,6 +275,17 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What the process that served before has learned of an endpoint, to go on from."""
+
+    host: str
+    wait_us: int  # how long it is still to be left alone
+    quota: float
+    pace: float  # own calls/s; 0: none
+    rate: float  # calls/s told for all; 0: not told
+
+
 @dataclass(frozen=True, slots=True)
 class Changed:
     """Other settings count from now on; messages that are open keep the rules under which they came."""
@@ -283,8 +294,8 @@
 
 
 Event = (
-    Arrival | ByHand | Care | Changed | Idle | Outcome | ProbeResult | Released | Roster | TimerDue
-    | Withdrawn
+    Arrival | ByHand | Care | Changed | Idle | Learned | Outcome | ProbeResult | Released | Roster
+    | TimerDue | Withdrawn
 )
 
 
--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -10,7 +10,9 @@
 
 from tests.world import ROOT
 
-RELAY = ("compose.py", "config.py", "console", "core", "directory", "ends", "fronts", "net", "partners")
+RELAY = (
+    "compose.py", "config.py", "console", "core", "directory", "ends", "fronts", "net", "partners", "upgrade",
+)  # fmt: skip
 MODULES = {"time", "secrets", "os", "shutil", "subprocess", "threading", "tempfile"}
 CALLS = {
     "socket.socket", "socket.create_server", "socket.create_connection", "random.random", "random.choice",
--- a/tests/world.py
+++ b/tests/world.py
@@ -326,6 +326,8 @@
         self.directory, self.hosts = Directory(), dict[str, HttpServer]()
         self.formers: list[Directory] = []  # directories at addresses that were left
         self.process: asyncio.subprocess.Process | None = None
+        self.others: list[asyncio.subprocess.Process] = []  # started beside it, or before it
+        self.former: asyncio.subprocess.Process  # the one that the present one has followed
         self.known: list[dict[str, Any]] = []
         self.settings = settings_json()
         self.disk_mb, self.sockets = 3.0, 1024
@@ -346,6 +348,10 @@
         """End everything."""
         if self.process is not None and self.process.returncode is None:
             await self.kill()
+        for process in self.others:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         for server in (self.directory, *self.formers, *self.hosts.values()):
             server.stop()
 
