Upgrades in the simulated world: two processes of one relay, killed anywhere, one judge

Need: two processes on one folder meet kills, full disks and lost power in ways that no test of real processes can cause at will.

Change: the simulated network lets sockets share an address (drawn, or steered to the second, as the kernel does), the disk has locks that end with their life, an upgrade is an event; nothing is noted in the record while both processes live, so every rule goes on through it. scenarios/upgrade.toml with the swarm's faults; kills of either process at a time or at a system call.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -143,7 +143,7 @@
         from mallowlug.console.server import Console  # noqa: PLC0415
         from mallowlug.upgrade.shift import Shift  # noqa: PLC0415
 
-        self._shift = Shift(cfg.state, self._system.disk, self)
+        self._shift = Shift(cfg.state, self._system.disk, self, self._extras.durable)
         console = Console(self._desk, cfg.console, cfg.sockets // CALLERS, self._system)
         await console.start()
         LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
--- a/mallowlug/rig/sim/disk.py
+++ b/mallowlug/rig/sim/disk.py
@@ -175,6 +175,12 @@
             self._synced, self._changes = dict(self.files), []
         self._leave(life, how)
 
+    def holder(self, path: Path) -> Life | None:
+        """Who has a file's lock."""
+        file = self.files.get(path)
+        locks = (entry for entry in self._open.values() if entry.locked and entry.file is file)
+        return next((entry.owner for entry in locks), None)
+
     def opened_by(self, life: Life) -> int:
         """How many descriptors a life has."""
         return sum(entry.owner is life for entry in self._open.values())
--- a/mallowlug/rig/sim/faults.py
+++ b/mallowlug/rig/sim/faults.py
@@ -174,6 +174,21 @@
         """Next to no destination stays awake without being used."""
         self.relays |= {"awake": self.rng.randint(1, 2), "rest_s": self._len(0.05, 1.0)}
 
+    def upgrades(self) -> None:
+        """Upgrades, most of them while a process is killed, at a time or at one of its system calls."""
+        if not self.scenario.relays.console:
+            return
+        for _ in self._many(3):
+            more: Row = {"relay": self._relay()}
+            if self.rng.random() < 0.5:
+                more |= {"len_s": self._len(0.01, 3.0), "back": self.rng.random() < 0.5}
+            self._event("upgrade", **more)
+        for _ in range(self.rng.randint(0, 2)):
+            self.strikes.append({
+                "relay": self._relay(), "life": self.rng.randint(0, 3), "at": self._nth(400),
+                "when": self.rng.choice(("before", "within", "after")),
+            })  # fmt: skip
+
     def network(self) -> None:
         """Slow, jittering, thin links that split bytes anywhere."""
         latency = round(self.rng.choice((0.1, 1.0, 8.0)), 3)
@@ -190,7 +205,7 @@
     for name in (
         "kills", "terms", "moves", "wipes", "kills_at_calls", "kills_at_steps", "disk_errors", "disk_full",
         "stalls", "jumps", "partitions", "outages", "churn", "blind", "spoilt", "rude", "tails", "links",
-        "network", "power", "sleepers",
+        "network", "power", "sleepers", "upgrades",
     )
 }  # fmt: skip
 
@@ -199,7 +214,8 @@
     """The scenario with this seed, and with the faults that the seed draws beside the scenario's own."""
     drawing = Drawing(scenario, seed)
     for draw in KINDS.values():
-        if drawing.rng.random() < ON:
+        always = draw is Drawing.upgrades  # it draws nothing where relays cannot be upgraded
+        if always or drawing.rng.random() < ON:
             draw(drawing)
     return scenario.model_copy(
         update={
--- a/mallowlug/rig/sim/ground.py
+++ b/mallowlug/rig/sim/ground.py
@@ -21,6 +21,7 @@
 from mallowlug.rig.sim.loop import START_S, SimLoop
 from mallowlug.rig.sim.net import Link, Network
 from mallowlug.rig.sim.process import Kernel, LifeLog, Machine, SimProcess, SimRelay, Struck
+from mallowlug.rig.sim.upgrade import Upgrade
 from mallowlug.rig.world.httpd import Place
 from mallowlug.rig.world.scenario import EventTable, Scenario
 
@@ -70,6 +71,7 @@
         told = self.scenario.relays
         extras = Extras(durable=told.durable, awake=told.awake, rest_s=told.rest_s)
         relay = SimRelay(name, self.kernel, Machine(name, disk, extras), writer, config)
+        relay.staffed = told.console
         self.relays.append(relay)
         return relay
 
@@ -87,6 +89,8 @@
             relay.note("room")
         elif event.what == "power":
             relay.cut_power()
+        elif event.what == "upgrade":
+            await Upgrade(relay, self.kernel, event).play()
         elif event.what == "stall":
             await self._stall(relay, event.len_s)
         else:
--- a/mallowlug/rig/sim/net.py
+++ b/mallowlug/rig/sim/net.py
@@ -63,6 +63,7 @@
         self.ended = self.shut = self.linger = False  # the peer's end has come; ours is said; close by reset
         self.error = 0
         self.backlog: deque[SimSocket] = deque()
+        self.shared = False  # others may listen at its address too
         self.most_backlog = 128
         if owner is not None:
             owner.sockets[self._fd] = self
@@ -242,7 +243,8 @@
         self.loop, self.rng, self.weather = loop, rng, Weather()
         self.links: Callable[[], Link] = Link  # a new connection's, each direction of its own
         self.most_sockets: Callable[[Life], int] = lambda _life: 1 << 20
-        self._listeners: dict[Address, SimSocket] = {}
+        self._listeners: dict[Address, list[SimSocket]] = {}  # several where all of them share the address
+        self._steered: set[Address] = set()  # where the second of them gets every new connection
         self._descriptors, self._port, self._address = 100, 32768, 0
 
     def descriptor(self) -> int:
@@ -275,20 +277,37 @@
         sock.family = socket.AddressFamily(family)
         return sock
 
-    def listener(self, address: Address) -> SimSocket:
+    def listener(self, address: Address, shared: bool = False) -> SimSocket:
         """A socket that listens at an address."""
-        if address in self._listeners:
+        there = self._listeners.get(address, [])
+        if there and not (shared and all(sock.shared for sock in there)):
             raise failure(errno.EADDRINUSE)
         sock = self.stream()
-        sock.here = address
+        sock.here, sock.shared = address, shared
         sock.listen()
-        self._listeners[address] = sock
+        self._listeners.setdefault(address, []).append(sock)
         return sock
 
     def unlisten(self, sock: SimSocket) -> None:
-        """Nobody listens there any more."""
-        if self._listeners.get(sock.here) is sock:
-            del self._listeners[sock.here]
+        """It listens no more; as in Linux, the last of a group takes its place in it."""
+        there = self._listeners.get(sock.here, [])
+        if sock in there:
+            there[there.index(sock)] = there[-1]
+            there.pop()
+        if not there:
+            self._listeners.pop(sock.here, None)
+            self._steered.discard(sock.here)
+
+    def steer(self, sock: SimSocket) -> None:
+        """The second socket of the group gets every new connection; where there is none, any is drawn."""
+        self._steered.add(sock.here)
+
+    def _listener(self, address: Address) -> SimSocket | None:
+        """Who gets a new connection there."""
+        there = self._listeners.get(address, [])
+        if len(there) < 2:
+            return there[0] if there else None
+        return there[1] if address in self._steered else self.rng.choice(there)
 
     def _reach(self, pair: tuple[str, str], arrive: Callable[[], None]) -> None:
         """Let something arrive now, or once its way is no longer cut."""
@@ -321,7 +340,7 @@
         def arrive() -> None:
             if sock.state != "connecting":
                 return
-            listener = self._listeners.get(address)
+            listener = self._listener(address)
             if listener is None:
                 self.loop.at(self._later(sock.link, 0), lambda: self._refused(sock))
             elif len(listener.backlog) >= listener.most_backlog:
@@ -333,8 +352,8 @@
         self.loop.at(self._later(sock.link, 0), lambda: self._reach(pair, arrive))
 
     def _place(self, address: Address) -> str:
-        listener = self._listeners.get(address)
-        return listener.place if listener is not None else ""
+        there = self._listeners.get(address)
+        return there[0].place if there else ""
 
     def _refused(self, sock: SimSocket) -> None:
         if sock.state == "connecting":
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -25,7 +25,7 @@
 from mallowlug.rig.run.relays import Process, Relay
 from mallowlug.rig.sim.disk import SimDisk
 from mallowlug.rig.sim.loop import LIFE, Killed, Life, SimLoop, vars_of
-from mallowlug.rig.sim.net import Network, failure
+from mallowlug.rig.sim.net import Network, SimSocket, failure
 from mallowlug.rig.world.scenario import StrikeTable
 
 EPOCH_NS = 1_750_000_000 * 10**9  # the wall clock's time when the simulation's monotonic clock shows 0
@@ -56,6 +56,7 @@
     extras: config.Extras
     wall_off_ns: int = 0
     boots: int = 1
+    console: tuple[str, int] | None = None  # of the life that is started next; None: it has none
 
 
 class SimSystem:
@@ -64,6 +65,8 @@
     def __init__(self, loop: SimLoop, net: Network, machine: Machine) -> None:
         self._loop, self._net, self._machine = loop, net, machine
         self.environ: Mapping[str, str] = {"ROUTER_CONFIG": str(CONFIG), "ROUTER_STATE": str(STATE)}
+        if machine.console is not None:
+            self.environ = {**self.environ, "ROUTER_CONSOLE": "{}:{}".format(*machine.console)}
         self.disk = machine.disk
 
     def wall_ns(self) -> int:
@@ -83,12 +86,12 @@
         life = LIFE.get()
         assert isinstance(life, SimLife)
         life.calls_to_listen = life.calls
-        return cast(socket.socket, self._net.listener(address))
+        return cast(socket.socket, self._net.listener(address, shared))
 
-
-    def steer(self, _sock: socket.socket) -> bool:
-        """A simulated address has one socket."""
-        return False
+    def steer(self, sock: socket.socket) -> bool:
+        """New connections come to the later one of two sockets."""
+        self._net.steer(cast(SimSocket, sock))
+        return True
 
 
 def name_of(call: str, data: bytes) -> str:
@@ -269,13 +272,15 @@
         config: Callable[[], dict[str, Any]],
     ) -> None:
         super().__init__(name, kernel.net.address(), writer, config)
-        self.kernel, self.machine = kernel, machine
+        self.kernel, self.machine, self.staffed = kernel, machine, False  # staffed: its lives have a console
         self.processes: list[SimProcess] = []
 
     def write_config(self) -> None:
         self.machine.disk.put(CONFIG, self.told())
 
-    async def spawn(self) -> Process:
+    async def spawn(self) -> SimProcess:
+        if self.staffed:
+            self.machine.console = self.kernel.net.address()
         process = self.kernel.start(self.machine, self.lives)
         self.processes.append(process)
         return process
@@ -292,6 +297,17 @@
         return [f"{life.name} life {life.number} ended with {code}" for life, code in ends
                 if code not in (0, -9, None) and not life.excused]  # fmt: skip
 
+    async def kill(self) -> None:
+        """SIGKILL, to all processes that it has."""
+        for process in self.processes:
+            if process is not self.process:
+                process.kill()
+        await super().kill()
+
+    def owner(self) -> Life | None:
+        """Which life holds the lock of the folder's owner, as the kernel knows."""
+        return self.machine.disk.holder(STATE / "owner")
+
     def lose(self) -> None:
         self.machine.disk.wipe()
         self.machine.boots += 1
@@ -299,6 +315,7 @@
     def cut_power(self) -> None:
         """The machine stops at once and comes back with its disk: what was synced, and perhaps more."""
         self.note("kill", "power")
-        self.processes[-1].kill()
+        for process in self.processes:
+            process.kill()
         self.machine.disk.crash()
         self.machine.boots += 1
--- /dev/null
+++ b/mallowlug/rig/sim/upgrade.py
@@ -0,0 +1,129 @@
+"""An upgrade as a supervisor makes it: a second process beside the first, its yes, the first one's end.
+
+To the record both are one relay: nothing is noted while both live, so every rule goes on through it. Only
+where a process that owned the messages dies is there an end, and a new beginning once another one owns them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+from mallowlug.rig.run.relays import TERM_S
+from mallowlug.rig.sim.process import Kernel, SimProcess, SimRelay
+from mallowlug.rig.world.scenario import EventTable
+
+READY_S = 6.0  # s in which the new process has to say yes
+LOOK_S = 0.02
+BACK_S = 3.0  # s in which a process that is left alone has to own the messages again
+CALL = b"GET /ready HTTP/1.1\r\nHost: console\r\n\r\n"
+
+
+class Upgrade:
+    """One upgrade of one relay."""
+
+    def __init__(self, relay: SimRelay, kernel: Kernel, event: EventTable) -> None:
+        self._relay, self._kernel, self._event = relay, kernel, event
+        self._loop = asyncio.get_running_loop()
+        self._ended = False  # whether an end of the owner is noted that no beginning has followed yet
+
+    async def play(self) -> None:
+        """All of it; nobody else ends or starts the relay meanwhile."""
+        async with self._relay.turn:
+            old = self._relay.process
+            if not isinstance(old, SimProcess) or old.returncode is not None:
+                return
+            self._relay.write_config()
+            new = await self._relay.spawn()
+            self._relay.lives += 1
+            if self._event.len_s:
+                await self._kill_later(new if self._event.back else old)
+            yes = await self._yes(old, new)
+            if yes and new.returncode is None:
+                self._relay.process = new
+                self._begun()
+                await self._end(old)
+                return
+            new.kill()
+            if await self._goes_back_to(old):
+                return
+            # Both are gone: a supervisor starts it anew.
+            await asyncio.sleep(0.05)
+            await self._relay.up(0.05)
+
+    async def _kill_later(self, process: SimProcess) -> None:
+        async def later() -> None:
+            await asyncio.sleep(self._event.len_s)
+            self._strike(process)
+
+        self._killing = self._loop.create_task(later())
+
+    def _strike(self, process: SimProcess) -> None:
+        """SIGKILL; where it owned the messages, the relay has ended for a moment."""
+        if process.returncode is None:
+            self._note_end(process)
+            process.kill()
+
+    def _note_end(self, process: SimProcess) -> None:
+        if self._relay.owner() is process.life and not self._ended:
+            self._relay.note("kill")
+            self._relay.note("exit", "-9")
+            self._ended = True
+
+    def _begun(self) -> None:
+        if self._ended:
+            self._relay.note("ready")
+            self._ended = False
+
+    def _seen_dead(self, process: SimProcess) -> bool:
+        """Whether it has been killed, also by a strike of the kernel, which tells nobody."""
+        if process.returncode is None:
+            return False
+        if not self._ended:
+            self._relay.note("exit", str(process.returncode))
+            self._ended = True
+        return True
+
+    async def _yes(self, old: SimProcess, new: SimProcess) -> bool:
+        """Whether the new process says at its console that it is ready, in time."""
+        last_s, noted = self._loop.time() + READY_S, False
+        console = self._relay.machine.console
+        assert console is not None
+        while self._loop.time() < last_s and new.returncode is None:
+            if old.returncode is not None and not noted:
+                noted = self._seen_dead(old)
+            with contextlib.suppress(OSError, TimeoutError):
+                reader, writer = await asyncio.open_connection(*console)
+                writer.write(CALL)
+                async with asyncio.timeout(1.0):
+                    answer = await reader.read()
+                writer.close()
+                if answer.startswith(b"HTTP/1.1 200"):
+                    return True
+            await asyncio.sleep(LOOK_S)
+        return False
+
+    async def _goes_back_to(self, old: SimProcess) -> bool:
+        """The new process is gone: whether the old one owns the messages (again)."""
+        last_s = self._loop.time() + BACK_S
+        while old.returncode is None and self._loop.time() < last_s:
+            if self._relay.owner() is old.life:
+                self._begun()
+                return True
+            if not self._ended:
+                self._relay.note("exit", "-9")
+                self._ended = True
+            await asyncio.sleep(LOOK_S)
+        if old.returncode is None:
+            old.kill()
+        self._seen_dead(old)
+        return False
+
+    async def _end(self, old: SimProcess) -> None:
+        """SIGTERM, and SIGKILL where it lasts too long."""
+        old.send_signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TERM_S):
+                await old.wait()
+        self._strike(old)
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -107,6 +107,7 @@
     disk_mb: float = Field(default=3.0, gt=0)
     back_s: float = Field(default=0.6, ge=0)  # from a process's end to its next start
     durable: bool = False  # their journals outlast the loss of power
+    console: bool = False  # they have consoles, and can be upgraded; simulated relays alone
     awake: int = Field(default=1024, ge=1)  # destinations that stay awake; simulated relays alone
     rest_s: float = Field(default=60.0, gt=0)  # without a use, after which one may sleep; the same
 
@@ -163,7 +164,7 @@
 HOSTS = ("refuse", "silent", "slow", "shut")
 LISTS = ("drain", "remove", "replace")
 FAULTS = ("delay", "cut", "silence", "drip")
-SIMULATED = ("stall", "jump", "full", "apart", "power")  # what only a simulation can do to a relay
+SIMULATED = ("stall", "jump", "full", "apart", "power", "upgrade")  # what only a simulation can do to a relay
 
 
 class EventTable(toml_check.Strict):
@@ -177,7 +178,9 @@
     answers, ``rude`` brings ``count`` rude clients. ``delay``, ``cut``, ``silence`` and ``drip`` strike the
     links ``between`` two parts. Only in the simulation: ``stall`` lets a relay stand still, ``jump`` moves
     its wall clock by ``size`` seconds (``back`` for the past), ``full`` fills its disk, ``apart`` cuts it off
-    from all, ``power`` lets its machine lose power and come back with what was synced (``relays.durable``).
+    from all, ``power`` lets its machine lose power and come back with what was synced (``relays.durable``),
+    ``upgrade`` starts a second process beside it and ends the first once that is ready (``relays.console``);
+    with ``len_s`` the first one is killed so long after the second's start, with ``back`` the second one.
     """
 
     at_s: float = Field(ge=0)
@@ -186,7 +189,7 @@
         "refuse", "silent", "slow", "shut", "heavy_tail",
         "drain", "remove", "replace", "directory_out", "garble", "rude",
         "delay", "cut", "silence", "drip", "stall", "jump", "full", "apart",
-        "power",
+        "power", "upgrade",
     ]  # fmt: skip
     len_s: float = Field(default=0.0, ge=0)
     relay: int = Field(default=0, ge=0)
@@ -288,6 +291,8 @@
                 raise ValueError(f"event.{at}.dest: there are {partners.destinations}, from 0")
             if event.what == "power" and not self.relays.durable:
                 raise ValueError(f"event.{at}.what: relays.durable is off, so nothing outlasts it")
+            if event.what == "upgrade" and not self.relays.console:
+                raise ValueError(f"event.{at}.what: relays.console is off: nobody can say that it is ready")
             if event.what == "heavy_tail" and event.cls not in {cls.name for cls in self.classes}:
                 raise ValueError(f"event.{at}.cls: no such class: {event.cls!r}")
         classes = {cls.name for cls in self.classes}
--- a/mallowlug/upgrade/shift.py
+++ b/mallowlug/upgrade/shift.py
@@ -59,8 +59,8 @@
 class Shift:
     """One process's way through its places."""
 
-    def __init__(self, folder: Path, disk: Disk, staff: Staff) -> None:
-        self._folder, self._disk, self._staff = folder, disk, staff
+    def __init__(self, folder: Path, disk: Disk, staff: Staff, durable: bool = False) -> None:
+        self._folder, self._disk, self._staff, self._durable = folder, disk, staff, durable
         self.line = Succession(folder, disk)
         self._adoption, self._hup = Adoption(folder, disk), self._read_hup()
         self._beside_s = 0.0  # loop's time until which another process is counted on
@@ -125,7 +125,7 @@
             self._share()
             await asyncio.sleep(STEP_S / 4)
         self._adoption.look(driver)
-        self.door = Door(self._folder, self._disk, driver)
+        self.door = Door(self._folder, self._disk, driver, self._durable)
         told.keep(self._folder, self._disk, self._staff.retire())
         self._staff.serve_by(self.door)
         self.line.hand_over()
--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from mallowlug.core.journal import framed, record_at
-from mallowlug.core.model import Answer, Handed, Refused, Taken
+from mallowlug.core.model import Answer, Failed, Handed, Refused, Taken
 from mallowlug.core.relay import FIELDS, Driver
 from mallowlug.system import APPEND, Disk
 from mallowlug.upgrade.locks import Lock
@@ -29,8 +29,8 @@
 class Door:
     """Takes messages on for the owner; what a front talks to once its process owns nothing any more."""
 
-    def __init__(self, folder: Path, disk: Disk, former: Driver) -> None:
-        self._folder, self._disk, self._former = folder, disk, former
+    def __init__(self, folder: Path, disk: Disk, former: Driver, durable: bool = False) -> None:
+        self._folder, self._disk, self._former, self._durable = folder, disk, former, durable
         self._lock: Lock | None = None
         self._fd, self._size = -1, 0
         self._taken: set[str] = set()
@@ -54,7 +54,7 @@
         return answer
 
     def _spool(self, handed: Handed, body: bytes) -> Answer:
-        fields = {name: getattr(handed, name) for name in FIELDS}
+        fields, written = {name: getattr(handed, name) for name in FIELDS}, 0
         record = framed(["in", handed.id, fields, self._former.rules_told(handed.cls)], body)
         try:
             if not self._room(len(record)):
@@ -63,10 +63,14 @@
             if written < len(record):
                 self._disk.truncate(self._fd, self._size)
                 return self.refusal
+            self._size += written
+            if self._durable:
+                self._disk.sync(self._fd)
         except OSError as error:
-            LOG.warning("door: a message was refused: %s", error, extra={"message_id": handed.id})
-            return self.refusal
-        self._size += written
+            # Of a record that may be on the disk nobody may say that it is not taken on.
+            LOG.warning("door: a message is not kept: %s", error, extra={"message_id": handed.id})
+            self.close()
+            return self.refusal if written < len(record) else Failed("not kept")
         self._taken.add(handed.id)
         return Taken()
 
@@ -84,6 +88,8 @@
             return False
         # Locked before it has its name: else the owner might find it free, take it for left, and remove it.
         self._disk.replace(new, path)
+        if self._durable:
+            self._disk.sync_folder(self._folder)
         self._lock, self._fd, self._size = lock, self._disk.open(path, APPEND), 0
         return True
 
@@ -156,7 +162,7 @@
             except ValueError as error:
                 LOG.error("door: %s is damaged at %d: %s", name, at, error)
             if ended:
-                if torn := len(data) - at:
+                if (torn := len(data) - at) > 0:
                     LOG.warning("door: a torn tail of %d bytes in %s, never taken on", torn, name)
                 self._disk.unlink(self._folder / name)
                 driver.forget_spool(name)
