Handovers beside a full or lost disk: pause in the module, owe what a door took on

A door's message is now taken up at once and owed to the disk; its file stays until that has it. A handover that the disk does not allow is given up.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -14,7 +14,7 @@
 from mallowlug.core.clock import clock_of
 from mallowlug.core.desk import Desk
 from mallowlug.core.figures import Figures
-from mallowlug.core.journal import Journal, JournalFullError
+from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings, listed_of
 from mallowlug.core.model import HostList
 from mallowlug.core.outs import Outs
@@ -231,15 +231,6 @@
         self._journal = None
         return binds
 
-    def settled(self) -> bool:
-        """Whether the disk has taken all that the journal owes it."""
-        assert self._journal is not None
-        try:
-            self._journal.settle()
-        except JournalFullError:
-            return False
-        return True
-
     def serve_by(self, core: Intake) -> None:
         """What clients bring goes there from now on."""
         for front in self._fronts:
--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -208,25 +208,30 @@
             self._live[ref].append(raw)
         self._live_bytes += len(raw)
 
-    def accept(
-        self, ref: str, fields: dict[str, Any], body: bytes, spool: tuple[str, int] | None = None
-    ) -> None:
-        """Take a message on, with room left for everything that may still be said of it.
+    def adopt(self, ref: str, fields: dict[str, Any], body: bytes, spool: tuple[str, int]) -> None:
+        """Take on what a door has taken on, and how far its file is read: both are kept, or neither.
 
-        ``spool``: it comes from that file of a door, which is read up to there; both are kept, or neither.
+        Where the disk does not take them they are owed; until then the message stands in the door's file.
         """
+        heads: list[list[Any]] = [["in", ref, fields], ["spool", *spool]]
+        records = [(heads[0], framed(heads[0], body)), (heads[1], framed(heads[1]))]
+        self.spools[spool[0]] = spool[1]
+        try:
+            self._append(records)
+        except JournalFullError as error:
+            LOG.error("journal: %s is not kept yet: %s", ref, error, extra={"message_id": ref})
+            for head, raw in records:
+                self._keep(head, raw)
+                self._owed.append(raw)
+
+    def accept(self, ref: str, fields: dict[str, Any], body: bytes) -> None:
+        """Take a message on, with room left for everything that may still be said of it."""
         head = ["in", ref, fields]
         raw = framed(head, body)
         after = self._live_bytes + len(raw) + RESERVE * (len(self._live) + 1)
         if 2 * blocks(after) > self._budget:  # old and new log stand side by side during compaction
             raise JournalFullError("the budget is used up by open messages")
-        records = [(head, raw)]
-        if spool is not None:
-            mark: list[Any] = ["spool", *spool]
-            records.append((mark, framed(mark)))
-        self._append(records)
-        if spool is not None:
-            self.spools[spool[0]] = spool[1]
+        self._append([(head, raw)])
         try:
             self.sync()
         except JournalFullError:
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -169,26 +169,35 @@
         """A door's file is gone."""
         self._journal.unspool(name)
 
-    def adopt(self, handed: Handed, body: bytes, rules: dict[str, Any], spool: tuple[str, int]) -> bool:
-        """Take on what a door has taken on already; False where the disk takes nothing now."""
+    def pause(self, on: bool) -> None:
+        """Start no call, or start them again."""
+        self._post(api.Paused(on))
+
+    def settled(self) -> bool:
+        """Whether the disk has taken all that the journal owes it."""
+        try:
+            self._journal.settle()
+            self._journal.sync()
+        except JournalFullError:
+            return False
+        return True
+
+    def adopt(self, handed: Handed, body: bytes, rules: dict[str, Any], spool: tuple[str, int]) -> None:
+        """Take on what a door has taken on already."""
         if self.knew(handed.id):
             self._journal.adopted(*spool)
-            return True
+            return
         number = self._journal.rule(rules, self._numbers.values())
         if (own := self._rules(number)) is None:  # of another version
             self._journal.adopted(*spool)
             self._ends.send(Notice(handed.id, "dead"))
-            return True
-        try:
-            fields = {name: getattr(handed, name) for name in FIELDS}
-            self._journal.accept(handed.id, fields | {"rules": number}, body, spool)
-        except JournalFullError as error:
-            LOG.warning("door: a message waits in its file: %s", error, extra={"message_id": handed.id})
-            return False
+            return
+        fields = {name: getattr(handed, name) for name in FIELDS}
+        self._journal.adopt(handed.id, fields | {"rules": number}, body, spool)
+        self._tend()
         self._held[handed.id] = Held(handed, body, own.cls.effect)
         self._use(handed.dest)
         self._post(self._arrival(handed, self.clock(), rules=own))
-        return True
 
     def rules_told(self, name: str) -> dict[str, Any]:
         """A class's rules as the journal keeps them."""
--- a/mallowlug/upgrade/shift.py
+++ b/mallowlug/upgrade/shift.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from mallowlug.core.binds import Binds
+from mallowlug.core.model import Answer, Handed, Refused
 from mallowlug.core.ports import Intake
 from mallowlug.core.relay import Driver
 from mallowlug.system import Disk, save
@@ -42,9 +43,6 @@
     def serve_by(self, core: Intake) -> None:
         """What clients bring goes there from now on."""
 
-    def settled(self) -> bool:
-        """Whether the disk has taken all that the journal owes it."""
-
     def hear(self) -> None:
         """The other process's staff may have put a host out or back."""
 
@@ -56,13 +54,32 @@
         """Whether SIGTERM has come."""
 
 
+class Beside:
+    """The owner's intake: what a door took on before comes first, where order is kept."""
+
+    def __init__(self, driver: Driver, adoption: Adoption) -> None:
+        self._driver, self._adoption = driver, adoption
+        self.clock = driver.clock
+
+    @property
+    def refusal(self) -> Refused:
+        """A refusal at the door, with when to come back."""
+        return self._driver.refusal
+
+    def hand_in(self, handed: Handed, body: bytes) -> Answer:
+        """As the core does."""
+        if handed.order:
+            self._adoption.look(self._driver)
+        return self._driver.hand_in(handed, body)
+
+
 class Shift:
     """One process's way through its places."""
 
     def __init__(self, folder: Path, disk: Disk, staff: Staff, durable: bool = False) -> None:
         self._folder, self._disk, self._staff, self._durable = folder, disk, staff, durable
         self.line = Succession(folder, disk)
-        self._adoption, self._hup = Adoption(folder, disk), self._read_hup()
+        self._adoption, self._hup = Adoption(folder, disk, durable), self._read_hup()
         self._beside_s = 0.0  # loop's time until which another process is counted on
         self.door: Door | None = None
         self.followed = False  # whether this process took over from one that was there
@@ -91,14 +108,16 @@
         driver = self._staff.take_up(told.take(self._folder, self._disk))
         told.drop(self._folder, self._disk)
         self._adoption.look(driver)
-        self._staff.serve_by(driver)
-        self._beside_s = asyncio.get_running_loop().time() + BESIDE_S
+        loop = asyncio.get_running_loop()
+        self._staff.serve_by(Beside(driver, self._adoption))
+        self._beside_s = loop.time() + BESIDE_S
 
     async def serve(self) -> None:
         """From owner to door and back, for as long as the process lasts."""
         while True:
             await self._own()
-            await self._hand_over()
+            if not await self._hand_over():
+                continue
             await self._keep_the_door()
             LOG.warning("upgrade: the process that was to follow is gone; taking the messages back")
             self.take_up()
@@ -112,24 +131,35 @@
                 beside, self._beside_s = True, max(self._beside_s, loop.time() + BESIDE_S / 5)
             if beside:
                 self._share()
+            elif self._staff.driver is not None:
+                self._staff.serve_by(self._staff.driver)
             await asyncio.sleep(STEP_S if beside else REST_S)
 
-    async def _hand_over(self) -> None:
-        """Start nothing more, let end what is out, write down what binds, let go."""
+    async def _hand_over(self) -> bool:
+        """Start nothing more, let end what is out, write down what binds, let go.
+
+        Not while the disk does not take what the journal owes it: the next process would read an older state.
+        """
         driver, loop = self._staff.driver, asyncio.get_running_loop()
         assert driver is not None
         LOG.info("upgrade: a process waits to follow; letting calls end")
         start_s = loop.time()
-        driver.shut_down(start_s)
-        while (driver.busy and loop.time() < start_s + DRAIN_S) or not self._staff.settled():
+        driver.pause(True)
+        while driver.busy and loop.time() < start_s + DRAIN_S:
             self._share()
             await asyncio.sleep(STEP_S / 4)
         self._adoption.look(driver)
+        if not driver.settled():
+            LOG.warning("upgrade: the disk is full; serving on")
+            driver.pause(False)
+            await asyncio.sleep(REST_S)
+            return False
         self.door = Door(self._folder, self._disk, driver, self._durable)
         told.keep(self._folder, self._disk, self._staff.retire())
         self._staff.serve_by(self.door)
         self.line.hand_over()
         LOG.info("upgrade: handed over after %.2f s", loop.time() - start_s)
+        return True
 
     async def _keep_the_door(self) -> None:
         """Pass on what clients still bring, until the end, or until nobody follows."""
--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -127,8 +127,8 @@
 class Adoption:
     """The owner's side: adopts what doors have written."""
 
-    def __init__(self, folder: Path, disk: Disk) -> None:
-        self._folder, self._disk = folder, disk
+    def __init__(self, folder: Path, disk: Disk, durable: bool = False) -> None:
+        self._folder, self._disk, self._durable = folder, disk, durable
 
     def tidy(self) -> None:
         """Remove what a door had begun when it was killed; one that lives finds out, and refuses."""
@@ -156,15 +156,16 @@
             data, at = self._disk.read(self._folder / name), driver.spools.get(name, 0)
             try:
                 while (message := spooled_at(data, at)) is not None:
-                    if not driver.adopt(message.handed, message.body, message.rules, (name, message.end)):
-                        return  # the disk takes nothing now: it stays in its file
+                    driver.adopt(message.handed, message.body, message.rules, (name, message.end))
                     at = message.end
             except ValueError as error:
                 LOG.error("door: %s is damaged at %d: %s", name, at, error)
-            if ended:
+            if ended and driver.settled():  # else the file alone may hold what was adopted
                 if (torn := len(data) - at) > 0:
                     LOG.warning("door: a torn tail of %d bytes in %s, never taken on", torn, name)
                 self._disk.unlink(self._folder / name)
+                if self._durable:  # else it may come back behind the note that it is gone, and be read anew
+                    self._disk.sync_folder(self._folder)
                 driver.forget_spool(name)
         finally:
             lock.free()
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -16,8 +16,8 @@
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
     Action, Arrival, Asleep, ByHand, Care, Changed, CloseIdle, Effect, Entry, Event, Fail, Idle, Kind,
-    Learned, Listing, Log, Outcome, Refuse, Released, Roster, RosterKind, Rules, Send, Settings, Subscribe,
-    TimerDue, Verdict, Wake, Withdrawn,
+    Learned, Listing, Log, Outcome, Paused, Refuse, Released, Roster, RosterKind, Rules, Send, Settings,
+    Subscribe, TimerDue, Verdict, Wake, Withdrawn,
 )
 from mossfront.state import Call, Destination, Endpoint, Guard, Manner, Message, Record, Tally
 
@@ -57,7 +57,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.set, self.rng, self.now, self.actions = settings, random.Random(seed), 0, list[Action]()
-        self.manners = dict[Rules, Manner]()
+        self.manners, self.paused = dict[Rules, Manner](), False
         self.shares: dict[str, tuple[float, Tally]] = {}
         self.all_held: Lanes = {}  # over all destinations, by class and worth
         self.messages, self.endpoints = dict[str, Message](), dict[str, Endpoint]()
@@ -128,6 +128,8 @@
                 idle.append(event.dest)
             elif isinstance(event, Learned) and event.host in self.endpoints:
                 self._go_on_from(self.endpoints[event.host], event)
+            elif isinstance(event, Paused):
+                self.paused = event.on
             elif isinstance(event, Changed):
                 self._change(event.settings)
             elif isinstance(event, ByHand):
@@ -139,7 +141,7 @@
             if (due := self.dests.get(number)) and due.due_us == at_us:
                 self.look[number], due.due_us = None, 0
         self._expire()
-        if self.calls_out < self.set.slots:  # else what is held is looked at when a slot is free
+        if self.calls_out < self.set.slots and not self.paused:  # else what is held is looked at later
             self._dispatch()
         for number in idle:  # last: what has come for it meanwhile binds it
             self._let_go(number)
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -286,6 +286,13 @@
     rate: float  # calls/s told for all; 0: not told
 
 
+@dataclass(frozen=True, slots=True)
+class Paused:
+    """Nothing is sent from now on, or (``on`` false) it is again; what has no time left is still answered."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Changed:
     """Other settings count from now on; messages that are open keep the rules under which they came."""
@@ -294,8 +301,8 @@
 
 
 Event = (
-    Arrival | ByHand | Care | Changed | Idle | Learned | Outcome | ProbeResult | Released | Roster
-    | TimerDue | Withdrawn
+    Arrival | ByHand | Care | Changed | Idle | Learned | Outcome | Paused | ProbeResult | Released
+    | Roster | TimerDue | Withdrawn
 )
 
 
