--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -102,6 +102,7 @@
         self._desk.names = {listed.entry.host for listed in cfg.known.hosts} if cfg.console else set()
         self._journal: Journal | None = None
         self._fronts: list[Server] = []
+        self._core: Intake | None = None  # what the fronts talk to
         self._shift: Shift | None = None
 
     @property
@@ -152,7 +153,7 @@
     async def _serve(self) -> int:
         shift = self._shift
         if shift is None:
-            self.take_up(None)
+            self.serve_by(self.take_up(None))
         else:
             if not await self._first(shift.come_up()):
                 return 0
@@ -187,9 +188,8 @@
         return False
 
     async def _listen(self) -> None:
-        driver = self.driver
-        assert driver is not None
-        self._fronts = fronts_of(self._cfg, self._extras, driver, self._system)
+        assert self._core is not None
+        self._fronts = fronts_of(self._cfg, self._extras, self._core, self._system)
         for front in self._fronts:
             await front.start()
             if self._shift is not None and self._shift.followed and not front.prevail():
@@ -233,6 +233,7 @@
 
     def serve_by(self, core: Intake) -> None:
         """What clients bring goes there from now on."""
+        self._core = core
         for front in self._fronts:
             front.core = core
 
--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -10,6 +10,7 @@
 
 import logging
 from dataclasses import dataclass
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -32,7 +33,7 @@
     def __init__(self, folder: Path, disk: Disk, former: Driver, durable: bool = False) -> None:
         self._folder, self._disk, self._former, self._durable = folder, disk, former, durable
         self._lock: Lock | None = None
-        self._fd, self._size = -1, 0
+        self._fd, self._size, self._name = -1, 0, ""
         self._taken: set[str] = set()
 
     def clock(self) -> int:
@@ -78,10 +79,13 @@
         """Whether there is a file to write to; a full one is left to the owner, and the next one begun."""
         if self._lock is not None and self._size + size <= MOST_FILE:
             return True
-        if sum(name.startswith(PREFIX) for name in self._disk.names(self._folder)) >= MOST_FILES:
+        there = [name for name in self._disk.names(self._folder) if name.startswith(PREFIX)]
+        if len(there) >= MOST_FILES:
             return False
         self.close()
-        name = f"{PREFIX}{self.clock()}"
+        # A burst fills a file within the clock's step, and another door may stand beside: no name twice.
+        names = (f"{PREFIX}{self.clock()}.{at:04}" for at in count())
+        self._name = name = next(name for name in names if name not in (*there, self._name))
         path, new = self._folder / name, self._folder / f"{NEW}{name}"
         lock = Lock(new, self._disk)
         if not lock.take():
