--- a/mallowlug/rig/sim/upgrade.py
+++ b/mallowlug/rig/sim/upgrade.py
@@ -37,14 +37,16 @@
             self._relay.write_config()
             new = await self._relay.spawn()
             self._relay.lives += 1
+            watching = self._loop.create_task(self._watch(old, new))
             if self._event.len_s:
                 await self._kill_later(new if self._event.back else old)
-            yes = await self._yes(old, new)
+            yes = await self._yes(new)
             if yes and new.returncode is None:
                 self._relay.process = new
                 self._begun()
                 await self._end(old)
                 return
+            watching.cancel()
             new.kill()
             if await self._goes_back_to(old):
                 return
@@ -76,23 +78,19 @@
             self._relay.note("ready")
             self._ended = False
 
-    def _seen_dead(self, process: SimProcess) -> bool:
-        """Whether it has been killed, also by a strike of the kernel, which tells nobody."""
-        if process.returncode is None:
-            return False
-        if not self._ended:
-            self._relay.note("exit", str(process.returncode))
+    async def _watch(self, old: SimProcess, new: SimProcess) -> None:
+        """Note the old one's end at once, also by a strike of the kernel, if it owned the messages."""
+        code = await old.wait()
+        if self._relay.process is old and self._relay.owner() is not new.life and not self._ended:
+            self._relay.note("exit", str(code))
             self._ended = True
-        return True
 
-    async def _yes(self, old: SimProcess, new: SimProcess) -> bool:
+    async def _yes(self, new: SimProcess) -> bool:
         """Whether the new process says at its console that it is ready, in time."""
-        last_s, noted = self._loop.time() + READY_S, False
+        last_s = self._loop.time() + READY_S
         console = self._relay.machine.console
         assert console is not None
         while self._loop.time() < last_s and new.returncode is None:
-            if old.returncode is not None and not noted:
-                noted = self._seen_dead(old)
             with contextlib.suppress(OSError, TimeoutError):
                 reader, writer = await asyncio.open_connection(*console)
                 writer.write(CALL)
@@ -117,7 +115,9 @@
             await asyncio.sleep(LOOK_S)
         if old.returncode is None:
             old.kill()
-        self._seen_dead(old)
+        if not self._ended:
+            self._relay.note("exit", "-9")
+            self._ended = True
         return False
 
     async def _end(self, old: SimProcess) -> None:
--- /dev/null
+++ b/tests/sim/test_upgrades.py
@@ -0,0 +1,137 @@
+"""Upgrades in the simulated world: seeds that once failed, kills at each call, and planted faults."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mallowlug.core.relay import Driver
+from mallowlug.rig.judge import record as rec
+from mallowlug.rig.sim import exhaust
+from mallowlug.rig.sim.disk import SimDisk
+from mallowlug.rig.sim.faults import swarm
+from mallowlug.rig.sim.sweep import WHEN, played
+from mallowlug.rig.world import scenario
+from mallowlug.rig.world.scenario import Scenario
+from mallowlug.upgrade import spool
+from tests.sim.worlds import Patch, judged, planted
+from tests.world import ROOT
+
+UPGRADE = scenario.load(ROOT / "scenarios" / "upgrade.toml")
+# What each found is in the commits: files that came back or had one name, a full disk, order at a door.
+ONCE_FAILED = (1, 19, 36, 48, 68, 116, 119, 147, 150, 185, 215, 223, 251, 255)
+SMALL: dict[str, Any] = exhaust.WORLD | {
+    "length_s": 1.2,
+    "relays": exhaust.WORLD["relays"] | {"console": True, "disk_mb": 0.3},
+    "event": [{"at_s": 0.15, "what": "upgrade"}],
+    "message": [
+        {"at_s": 0.02 + 0.03 * number, "cls": cls, "dest": 0, "member": "parqueos-centro", "order": order,
+         "size": 200}
+        for number, (cls, order) in enumerate(
+            [("unsafe", ""), ("safe", ""), ("keyed", ""), ("line", "a"), ("unsafe", ""), ("line", "a")] * 4
+        )
+    ],
+}  # fmt: skip
+
+
+def small(*strikes: dict[str, Any]) -> Scenario:
+    """A relay that is upgraded among 24 messages, with these strikes."""
+    return Scenario.model_validate(SMALL | {"strike": list(strikes)})
+
+
+def roomy() -> Scenario:
+    """The same where nothing is refused or fails."""
+    kind = SMALL["kind"][0] | {"limited": False, "least_per_s": (200, 200), "error_rate": 0.0, "batch": 1}
+    return Scenario.model_validate(SMALL | {"kind": [kind]})
+
+
+@pytest.mark.parametrize("seed", ONCE_FAILED)
+def test_seeds_that_once_failed_keep_every_rule(seed: int) -> None:
+    result = played(swarm(UPGRADE, seed))
+    assert (result.state, result.breaches, result.complaints) == ("kept", (), ())
+
+
+def test_an_upgrade_passes_the_messages_on(tmp_path: Path) -> None:
+    done, record, verdict = judged(roomy(), tmp_path)
+    assert (verdict.state, done.complaints) == ("kept", [])
+    ends = [ref for e in record.events if isinstance(e, rec.Answer) for ref, end in e.ends.items()
+            if end == "delivered"]  # fmt: skip
+    assert len(ends) == len(set(ends)) == 24
+    assert any("handed over" in line for line in done.logs["n0"])
+    assert len(done.calls) == 2 and done.calls[1][1] > 20  # both lives made system calls
+
+
+@pytest.mark.parametrize("life", [0, 1])
+@pytest.mark.parametrize("when", WHEN)
+def test_no_kill_at_a_call_of_either_process_breaks_a_rule(life: int, when: str) -> None:
+    """Every third call of the handover, and some behind it; each way begins at another one."""
+    listens, calls = played(small()).calls[life]
+    first = max(1, calls - 60) if life == 0 else 1  # an old one hands over with its last calls
+    last = calls if life == 0 else listens + 15
+    failed = []
+    for at in (*range(first + WHEN.index(when), last + 1, 3), *range(last + 1, calls + 1, 25)):
+        result = played(small({"life": life, "at": at, "when": when}))
+        if result.state == "error" or result.breaches or result.complaints:
+            failed.append((at, result.breaches, result.complaints))
+    assert calls > 20
+    assert failed == []
+
+
+def both_own(monkey: pytest.MonkeyPatch) -> None:
+    """A lock that anybody gets."""
+    monkey.setattr(SimDisk, "lock", lambda self, fd: True)
+
+
+def waits_left_behind(monkey: pytest.MonkeyPatch) -> None:
+    """Told waits are not handed over."""
+    real = Driver.retire
+
+    def retiring(self: Driver) -> Any:
+        binds = real(self)
+        binds.waits, binds.learned = {}, []
+        return binds
+
+    monkey.setattr(Driver, "retire", retiring)
+
+
+def door_unread(monkey: pytest.MonkeyPatch) -> None:
+    """What a door writes is removed unread."""
+    monkey.setattr(spool, "spooled_at", lambda data, at: None)
+
+
+def read_anew(monkey: pytest.MonkeyPatch) -> None:
+    """How far a door's file is adopted is forgotten with the life, and so is what is over."""
+    monkey.setattr(Driver, "spools", property(lambda self: {}))
+    monkey.setattr(Driver, "knew", lambda self, ref: False)
+
+
+def waiting() -> Scenario:
+    """Every call is refused with a wait of seconds, and the relay is upgraded at once."""
+    kind = SMALL["kind"][0] | {"wait_ms": (2000, 2500)}
+    return Scenario.model_validate(SMALL | {"kind": [kind], "length_s": 3.0})
+
+
+@pytest.mark.parametrize(
+    ("plant", "world", "rules"),
+    [
+        (both_own, small, {"twice"}),
+        (waits_left_behind, waiting, {"waits"}),
+        (door_unread, small, {"lost"}),
+        (read_anew, roomy, {"twice"}),
+    ],
+    ids=lambda value: getattr(value, "__name__", ""),
+)
+def test_a_planted_fault_of_the_handover_is_caught(
+    plant: Patch, world: Any, rules: set[str], tmp_path: Path
+) -> None:
+    assert judged(world(), tmp_path / "kept")[2].breaches == ()
+    with planted(plant):
+        _, _, verdict = judged(world(), tmp_path / "planted")
+    assert rules <= {breach.rule for breach in verdict.breaches}
+
+
+def test_an_upgrade_needs_a_console() -> None:
+    with pytest.raises(ValueError, match="console is off"):
+        Scenario.model_validate(SMALL | {"relays": {"count": 1}})
