--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -123,6 +123,46 @@
     kept(out, {level: [asdict(cost) for cost in costs] for level, costs in found.items()})
 
 
+@group.command("upgrades")
+@click.option("--count", default=20, show_default=True, help="Upgrades, one after the other.")
+@click.option("--per-s", default=150.0, show_default=True, help="Messages a second meanwhile.")
+@out_option
+def upgrades(count: int, per_s: float, out: Path | None) -> None:
+    """Upgrades under load: how long until the yes, the longest gap, connections that were met closed."""
+    found, taken, delivered = run(runs.upgrades(count, per_s))
+    shown(
+        f"{count} upgrades, {taken} messages taken on, {delivered} delivered",
+        ("s to the yes", "longest s without a delivery", "messages that met a closed connection"),
+        [(spread([one.yes_s for one in found]), spread([one.gap_s for one in found]),
+          spread([one.met for one in found]))],
+    )  # fmt: skip
+    kept(out, [asdict(one) for one in found])
+
+
+@group.command("console")
+@rounds_option
+@count_option
+@out_option
+def console(rounds: int, messages: int, out: Path | None) -> None:
+    """Start, memory and CPU of a message without and with a console, in turn."""
+
+    async def main() -> dict[str, list[tuple[float, int, float]]]:
+        found: dict[str, list[tuple[float, int, float]]] = {"without": [], "with": []}
+        for _ in range(rounds):
+            for name, told in found.items():
+                async with runs.relay(24, console=name == "with") as world:
+                    memory_kb, start_s = world.process.memory_kb, world.process.start_cpu_s
+                    cost = await runs.cost(world, messages, 200)
+                    told.append((start_s, memory_kb, cost.cpu_ms))
+        return found
+
+    found: dict[str, list[tuple[float, int, float]]] = run(main())
+    pairs = list(zip(found["with"], found["without"], strict=True))
+    ratios = [spread([a[at] / b[at] for a, b in pairs]) for at in range(3)]
+    shown("with a console, times without one", ("CPU to start", "memory at start", "CPU a message"), [ratios])
+    kept(out, found)
+
+
 @group.command("destinations")
 @click.option("--counts", default="24,1000,10000,50000", show_default=True)
 @click.option("--churn", default=50.0, show_default=True, help="Changes a second in the second half.")
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -7,11 +7,11 @@
 import statistics
 import tempfile
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.process import Process, free_port, relay_config, running
+from bench.process import Process, asked, beside, free_port, relay_config, running
 from bench.standins import Client, Directory, Sink, requests, serve
 
 CLIENTS, WINDOW = 16, 8  # clients, and requests of each without an answer
@@ -61,6 +61,7 @@
 async def relay(
     destinations: int,
     *,
+    console: bool = False,
     held: int = 25_000,
     endpoints: int = 1,
     work_s: float = 0.0,
@@ -75,6 +76,8 @@
     with tempfile.TemporaryDirectory(prefix="bench-") as name:
         port, environ = relay_config(Path(name), directory.whole(), face_port, SLOTS, held)
         command = ["-m", "mallowlug"]
+        if console:
+            environ = beside(environ, 0)
         if profile is not None:
             command = ["-m", "bench.profiled", str(profile)]
         async with running(Path(name), port, command, environ) as process:
@@ -86,6 +89,100 @@
     faces.close()
 
 
+@dataclass(frozen=True, slots=True)
+class Upgraded:
+    """One upgrade under load: s to the yes, most s without a delivery, messages that met a close."""
+
+    yes_s: float
+    gap_s: float
+    met: int
+
+
+async def upgrades(count: int, per_s: float) -> tuple[list[Upgraded], int, int]:
+    """Upgrade a relay so often while messages come; with how many were handed in and how many delivered."""
+    sink = Sink(0.02)
+    sinks, sink_port = await serve(sink.asked)
+    directory = Directory(24, 1, f"127.0.0.1:{sink_port}")
+    faces, face_port = await serve(directory.asked)
+    beat = asyncio.create_task(beats(directory))
+    with tempfile.TemporaryDirectory(prefix="bench-") as name:
+        folder = Path(name)
+        port, environ = relay_config(folder, directory.whole(), face_port, SLOTS, 5000)
+        load = Load(port, sink, per_s)
+        found = list[Upgraded]()
+        async with AsyncExitStack() as stack:
+            old = await stack.enter_async_context(
+                running(folder, port, ["-m", "mallowlug"], beside(environ, 0))
+            )
+            task = asyncio.create_task(load.run())
+            for number in range(1, count + 1):
+                told = beside(environ, number)
+                load.fresh()
+                began_s = asyncio.get_running_loop().time()
+                new = await stack.enter_async_context(running(folder, port, ["-m", "mallowlug"], told))
+                while await asked(told["ROUTER_CONSOLE"]) != 200:
+                    await asyncio.sleep(0.01)
+                yes_s = asyncio.get_running_loop().time() - began_s
+                await old.end()
+                await asyncio.sleep(0.5)
+                found.append(Upgraded(yes_s, load.gap_s, load.met))
+                old = new
+            load.stopped = True
+            await task
+            await sink.until(load.taken, 30.0)
+    beat.cancel()
+    sinks.close()
+    faces.close()
+    return found, load.taken, sink.delivered
+
+
+class Load:
+    """Clients that ask one thing at a time, and again on a new connection where the old one was closed."""
+
+    def __init__(self, port: int, sink: Sink, per_s: float) -> None:
+        self._port, self._sink, self._per_s = port, sink, per_s
+        self.stopped, self.taken, self.met, self.gap_s = False, 0, 0, 0.0
+
+    def fresh(self) -> None:
+        """Count for the next upgrade."""
+        self.met, self.gap_s = 0, 0.0
+
+    async def run(self) -> None:
+        """Until it is stopped."""
+        await asyncio.gather(self._watch(), *(self._client(number) for number in range(CLIENTS)))
+
+    async def _watch(self) -> None:
+        loop, last, since_s = asyncio.get_running_loop(), 0, asyncio.get_running_loop().time()
+        while not self.stopped:
+            await asyncio.sleep(0.01)
+            if self._sink.delivered != last:
+                last, since_s = self._sink.delivered, loop.time()
+            self.gap_s = max(self.gap_s, loop.time() - since_s)
+
+    async def _client(self, number: int) -> None:
+        source = requests(chr(ord("a") + number), 24, BODY, 60_000)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        while not self.stopped:
+            request = next(source)
+            answer = b""
+            while not answer:
+                if reader.at_eof():  # closed while it was idle, and the client has seen it
+                    writer.close()
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+                try:
+                    writer.write(request)
+                    answer = await reader.readline()
+                except OSError:
+                    answer = b""
+                if not answer:
+                    self.met += 1
+                    writer.close()
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            self.taken += answer == b"+OK\r\n"
+            await asyncio.sleep(CLIENTS / self._per_s)
+        writer.close()
+
+
 @asynccontextmanager
 async def hop() -> AsyncIterator[World]:
     """The bare hop."""
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -288,7 +288,9 @@
     def now(self) -> Now:
         """What a scrape reads."""
         size, sent = self._listings.hosts, self.sent_before + self._partners.written
-        return Now(sent, len(self._held), size, min(size, self._module.avoided()))
+        asleep = (host for host in self._outs.hosts if host not in self._module.endpoints)
+        avoided = self._module.avoided() + sum(self._listings.lists(host) for host in asleep)
+        return Now(sent, len(self._held), size, min(size, avoided))
 
     def hand_in(self, handed: Handed, body: bytes) -> Answer:
         """Take a message on, or say why not; what is not taken on has ended here."""
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -76,6 +76,21 @@
     assert seen(world, "h1") == []
 
 
+async def test_a_host_that_is_out_is_told_as_avoided_while_it_is_listed(world: World) -> None:
+    console = await staffed(world, "h1", "h2")
+    await world.run()
+    await by_hand(console, OUT + "h1")
+
+    async def told(line: str) -> None:
+        while line not in (await called(console, "GET", "/metrics"))[1]:
+            await asyncio.sleep(0.01)
+
+    await soon(told("relay_cluster_unhealthy 1\n"))
+    world.directory.change("h1", health="DELETED")
+    await soon(told("relay_cluster_unhealthy 0\n"))
+    assert "relay_cluster_size 1\n" in (await called(console, "GET", "/metrics"))[1]
+
+
 async def test_a_call_that_is_out_ends_as_it_would(world: World) -> None:
     console = await staffed(world, "h1")
     world.hosts["h1"].default = silent
