Hosts out by hand in the simulated world: staff, a judge that counts from the yes, a plant

Need: a ban has to hold over kills, upgrades and lost power; tests of real processes cause a few of these.

Change: an event (out) lets staff call at the console of any process that a relay has; the judge of drains counts from the yes. Found by it: a durable installation did not sync the file of hosts out before the yes; it does now.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -97,7 +97,7 @@
         self._ended: asyncio.Future[int] = self._loop.create_future()
         self._terminated = asyncio.Event()
         self._figures = Figures(cls.name for cls in cfg.settings.classes)
-        self._outs = Outs(cfg.state, system.disk)
+        self._outs = Outs(cfg.state, system.disk, extras.durable)
         self._desk = Desk(self._figures, self._outs)
         self._desk.names = {listed.entry.host for listed in cfg.known.hosts} if cfg.console else set()
         self._journal: Journal | None = None
--- a/mallowlug/core/outs.py
+++ b/mallowlug/core/outs.py
@@ -44,8 +44,9 @@
 class Outs:
     """Which hosts are out. ``changed`` hears of every change, once it is kept."""
 
-    def __init__(self, folder: Path, disk: Disk) -> None:
-        self._path, self._spare, self._disk = folder / FILE, folder / SPARE, disk
+    def __init__(self, folder: Path, disk: Disk, durable: bool = False) -> None:
+        self._folder, self._disk, self._durable = folder, disk, durable
+        self._path, self._spare = folder / FILE, folder / SPARE
         self.changed: Callable[[str, bool], None] = lambda _host, _out: None
         self.hosts: dict[str, None] = {}
         self.hosts = self._read()
@@ -88,9 +89,11 @@
         if len(data) > MOST_BYTES and len(hosts) > len(self.hosts):
             return "too many hosts are out already"
         try:
-            if not save(self._disk, self._spare, data):
+            if not save(self._disk, self._spare, data, self._durable):
                 return "the disk is full"
             self._disk.replace(self._spare, self._path)
+            if self._durable:
+                self._disk.sync_folder(self._folder)
         except OSError as error:
             LOG.error("hosts out: %s not kept: %s", host, error)
             return f"not kept: {error}"
--- a/mallowlug/rig/judge/record.py
+++ b/mallowlug/rig/judge/record.py
@@ -118,6 +118,14 @@
     detail: str = ""
 
 
+class Hand(Event, frozen=True, tag="hand"):
+    """Staff took a host out at a relay, from its yes on, or are about to take it back."""
+
+    relay: str
+    host: str
+    out: bool
+
+
 class Ask(Event, frozen=True, tag="ask"):
     """A client's request is written, up to its last byte; ``first`` is the id of the message's first try."""
 
@@ -251,7 +259,7 @@
 
 
 AnyEvent = (
-    Head | Host | Life | Process | Ask | Said | Call | Ran | Answer | Gone | Notice
+    Head | Host | Life | Process | Hand | Ask | Said | Call | Ran | Answer | Gone | Notice
     | Listed | Told | Watch | Reach | Link | Rude | Mark | End
 )  # fmt: skip
 ENCODER = msgspec.json.Encoder()
--- a/mallowlug/rig/judge/rules.py
+++ b/mallowlug/rig/judge/rules.py
@@ -407,7 +407,8 @@
     """Nothing new to an endpoint later than the grace after the relay was told that it drains or is gone.
 
     A send counts from its first byte. A change counts as told when it was written to the relay, or when the
-    relay has had no watch for as long as it must ask.
+    relay has had no watch for as long as it must ask. A host that staff took out counts as told from the
+    relay's yes until they take it back, whatever the list says and however often the relay ends.
     """
 
     name = "drains"
@@ -415,6 +416,7 @@
     def __init__(self, books: Books) -> None:
         super().__init__(books)
         self._told: dict[tuple[str, str], int] = {}  # by relay and endpoint: told since, unless it is ready
+        self._hand: dict[tuple[str, str], int] = {}  # by relay and endpoint: out by hand since
         self._listed: dict[str, int] = {}  # by endpoint: not ready since
         self._blind: dict[str, int] = {}  # by relay: without a watch since
 
@@ -425,6 +427,14 @@
             else:
                 self.checked += 1
                 self._told.setdefault((event.relay, event.host), event.at)
+        elif isinstance(event, rec.Hand):
+            if event.out:
+                self.checked += 1
+                self._hand.setdefault((event.relay, event.host), event.at)
+            else:
+                self._hand.pop((event.relay, event.host), None)
+        elif isinstance(event, rec.Process) and event.what == "wiped":  # it is lost with its folder
+            self._hand = {key: at_us for key, at_us in self._hand.items() if key[0] != event.relay}
         elif isinstance(event, rec.Listed):
             if event.state == "ready":
                 self._listed.pop(event.host, None)
@@ -440,7 +450,7 @@
 
     def _call(self, call: rec.Call) -> None:
         figures, relay = self.books.figures, self.books.relay_of(call)
-        told = [self._told[relay, call.host]] if (relay, call.host) in self._told else []
+        told = [table[relay, call.host] for table in (self._told, self._hand) if (relay, call.host) in table]
         if call.host in self._listed and relay in self._blind:
             told.append(max(self._listed[call.host], self._blind[relay]) + figures.ask_within_us)
         if not told:
--- a/mallowlug/rig/run/play.py
+++ b/mallowlug/rig/run/play.py
@@ -29,6 +29,7 @@
 DRIPPED_US = 400_000  # how late what drips may be: a client waits no longer
 LOOK_S = 0.02  # s between looks at the event loop's lateness
 TAIL_S = 1.5  # s beyond that in which a task may still end
+BACK_S = 5.0  # s in which a call back is made again where nobody says yes
 SETTLE_S = 0.6  # s after a message's time in which its end may still come
 
 
@@ -260,6 +261,8 @@
             await self._strike(event)
         elif event.what in FAULTS:
             await self._fault(event)
+        elif event.what == "out":
+            await self._by_hand(event)
         elif event.what in SIMULATED:
             await self.ground.strike(self.relays[event.relay], event)
         else:
@@ -291,6 +294,21 @@
         for face in formers:
             face.stop()
 
+    async def _by_hand(self, event: EventTable) -> None:
+        """Staff take endpoints out at one relay, restart them, and take them back: they return cold."""
+        relay = self.relays[event.relay]
+        able = [name for name, host in self.hosts.items() if host.model.state == "up"]
+        names = self.rng.sample(able, min(event.count, len(able)))
+        names = [name for name in names if await relay.by_hand(name, True)]
+        for name in names:
+            self.writer.add(rec.Hand(self.writer.now, relay.name, name, True))
+        await asyncio.sleep(event.len_s)
+        for name in names:
+            self.writer.add(rec.Hand(self.writer.now, relay.name, name, False))
+            last_s = asyncio.get_running_loop().time() + BACK_S
+            while not await relay.by_hand(name, False) and asyncio.get_running_loop().time() < last_s:
+                await asyncio.sleep(LOOK_S)
+
     async def _strike(self, event: EventTable) -> None:
         plans = [host.plan for host in self.hosts.values()]
         names = draw.struck(self.scenario, plans, event, self.rng)
--- a/mallowlug/rig/run/relays.py
+++ b/mallowlug/rig/run/relays.py
@@ -82,6 +82,10 @@
     async def spawn(self) -> Process:
         """Start the process of the next life."""
 
+    async def by_hand(self, host: str, out: bool) -> bool:
+        """Call a host out or back at the relay's console; whether it said yes."""
+        raise NotImplementedError(host)
+
     @abstractmethod
     def lose(self) -> None:
         """The machine is lost with its folder."""
--- a/mallowlug/rig/sim/faults.py
+++ b/mallowlug/rig/sim/faults.py
@@ -189,6 +189,12 @@
                 "when": self.rng.choice(("before", "within", "after")),
             })  # fmt: skip
 
+    def hands(self) -> None:
+        """Staff take hosts out, and back."""
+        if self.scenario.relays.staff:
+            for _ in self._many(3):
+                self._event("out", relay=self._relay(), count=self.rng.randint(1, 2), len_s=self._len(0.3, 4))
+
     def network(self) -> None:
         """Slow, jittering, thin links that split bytes anywhere."""
         latency = round(self.rng.choice((0.1, 1.0, 8.0)), 3)
@@ -206,6 +212,7 @@
         "kills", "terms", "moves", "wipes", "kills_at_calls", "kills_at_steps", "disk_errors", "disk_full",
         "stalls", "jumps", "partitions", "outages", "churn", "blind", "spoilt", "rude", "tails", "links",
         "network", "power", "sleepers", "upgrades",
+        "hands",
     )
 }  # fmt: skip
 
@@ -214,7 +221,7 @@
     """The scenario with this seed, and with the faults that the seed draws beside the scenario's own."""
     drawing = Drawing(scenario, seed)
     for draw in KINDS.values():
-        always = draw is Drawing.upgrades  # it draws nothing where relays cannot be upgraded
+        always = draw in (Drawing.upgrades, Drawing.hands)  # they draw nothing where relays have no staff
         if always or drawing.rng.random() < ON:
             draw(drawing)
     return scenario.model_copy(
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -107,6 +107,18 @@
     return "send.answer"
 
 
+async def asked(console: tuple[str, int], method: str, target: str) -> int:
+    """One call at a console: the status; 0 where there is no answer within a second."""
+    with contextlib.suppress(OSError, TimeoutError, IndexError, ValueError):
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*console)
+            writer.write(f"{method} {target} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
+            answer = await reader.read()
+            writer.close()
+            return int(answer.split(b" ", 2)[1])
+    return 0
+
+
 @dataclass(slots=True)
 class Struck:
     """A strike that fell."""
@@ -237,6 +249,7 @@
 
     def __init__(self, kernel: Kernel, life: SimLife) -> None:
         self._kernel, self.life = kernel, life
+        self.console: tuple[str, int] | None = None
 
     @property
     def returncode(self) -> int | None:
@@ -282,6 +295,7 @@
         if self.staffed:
             self.machine.console = self.kernel.net.address()
         process = self.kernel.start(self.machine, self.lives)
+        process.console = self.machine.console
         self.processes.append(process)
         return process
 
@@ -304,6 +318,14 @@
                 process.kill()
         await super().kill()
 
+    async def by_hand(self, host: str, out: bool) -> bool:
+        """At the console of any process that it has now."""
+        alive = [p.console for p in self.processes if p.returncode is None and p.console is not None]
+        if not alive:
+            return False
+        target = f"/hosts/{'disable' if out else 'enable'}?name={host}"
+        return await asked(self.kernel.net.rng.choice(alive), "POST", target) == 200
+
     def owner(self) -> Life | None:
         """Which life holds the lock of the folder's owner, as the kernel knows."""
         return self.machine.disk.holder(STATE / "owner")
--- a/mallowlug/rig/sim/upgrade.py
+++ b/mallowlug/rig/sim/upgrade.py
@@ -11,13 +11,12 @@
 import signal
 
 from mallowlug.rig.run.relays import TERM_S
-from mallowlug.rig.sim.process import Kernel, SimProcess, SimRelay
+from mallowlug.rig.sim.process import Kernel, SimProcess, SimRelay, asked
 from mallowlug.rig.world.scenario import EventTable
 
 READY_S = 6.0  # s in which the new process has to say yes
 LOOK_S = 0.02
 BACK_S = 3.0  # s in which a process that is left alone has to own the messages again
-CALL = b"GET /ready HTTP/1.1\r\nHost: console\r\n\r\n"
 
 
 class Upgrade:
@@ -91,14 +90,8 @@
         console = self._relay.machine.console
         assert console is not None
         while self._loop.time() < last_s and new.returncode is None:
-            with contextlib.suppress(OSError, TimeoutError):
-                reader, writer = await asyncio.open_connection(*console)
-                writer.write(CALL)
-                async with asyncio.timeout(1.0):
-                    answer = await reader.read()
-                writer.close()
-                if answer.startswith(b"HTTP/1.1 200"):
-                    return True
+            if await asked(console, "GET", "/ready") == 200:
+                return True
             await asyncio.sleep(LOOK_S)
         return False
 
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -108,6 +108,7 @@
     back_s: float = Field(default=0.6, ge=0)  # from a process's end to its next start
     durable: bool = False  # their journals outlast the loss of power
     console: bool = False  # they have consoles, and can be upgraded; simulated relays alone
+    staff: bool = False  # seeds let staff take hosts out and back
     awake: int = Field(default=1024, ge=1)  # destinations that stay awake; simulated relays alone
     rest_s: float = Field(default=60.0, gt=0)  # without a use, after which one may sleep; the same
 
@@ -164,7 +165,8 @@
 HOSTS = ("refuse", "silent", "slow", "shut")
 LISTS = ("drain", "remove", "replace")
 FAULTS = ("delay", "cut", "silence", "drip")
-SIMULATED = ("stall", "jump", "full", "apart", "power", "upgrade")  # what only a simulation can do to a relay
+# What only a simulation can do to a relay.
+SIMULATED = ("stall", "jump", "full", "apart", "power", "upgrade", "out")
 
 
 class EventTable(toml_check.Strict):
@@ -181,6 +183,7 @@
     from all, ``power`` lets its machine lose power and come back with what was synced (``relays.durable``),
     ``upgrade`` starts a second process beside it and ends the first once that is ready (``relays.console``);
     with ``len_s`` the first one is killed so long after the second's start, with ``back`` the second one.
+    ``out`` lets staff take ``count`` endpoints out at a relay and restart them, and take them back.
     """
 
     at_s: float = Field(ge=0)
@@ -189,7 +192,7 @@
         "refuse", "silent", "slow", "shut", "heavy_tail",
         "drain", "remove", "replace", "directory_out", "garble", "rude",
         "delay", "cut", "silence", "drip", "stall", "jump", "full", "apart",
-        "power", "upgrade",
+        "power", "upgrade", "out",
     ]  # fmt: skip
     len_s: float = Field(default=0.0, ge=0)
     relay: int = Field(default=0, ge=0)
@@ -291,8 +294,8 @@
                 raise ValueError(f"event.{at}.dest: there are {partners.destinations}, from 0")
             if event.what == "power" and not self.relays.durable:
                 raise ValueError(f"event.{at}.what: relays.durable is off, so nothing outlasts it")
-            if event.what == "upgrade" and not self.relays.console:
-                raise ValueError(f"event.{at}.what: relays.console is off: nobody can say that it is ready")
+            if event.what in ("upgrade", "out") and not self.relays.console:
+                raise ValueError(f"event.{at}.what: relays.console is off, and it has to be asked")
             if event.what == "heavy_tail" and event.cls not in {cls.name for cls in self.classes}:
                 raise ValueError(f"event.{at}.cls: no such class: {event.cls!r}")
         classes = {cls.name for cls in self.classes}
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -93,11 +93,17 @@
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
-def save(disk: Disk, path: Path, data: bytes) -> bool:
-    """Write a small file anew; False where a part of it is missing, ``OSError`` where that cannot be."""
+def save(disk: Disk, path: Path, data: bytes, durable: bool = False) -> bool:
+    """Write a small file anew; False where a part of it is missing, ``OSError`` where that cannot be.
+
+    ``durable``: what it holds, though not its name, is safe from the loss of the machine's power then.
+    """
     fd = disk.open(path, APPEND | FRESH)
     try:
-        return disk.write(fd, data) == len(data)
+        whole = disk.write(fd, data) == len(data)
+        if durable:
+            disk.sync(fd)
+        return whole
     finally:
         disk.close(fd)
 
--- a/tests/sim/test_upgrades.py
+++ b/tests/sim/test_upgrades.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mallowlug.core.outs import Outs
 from mallowlug.core.relay import Driver
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.sim import exhaust
@@ -20,6 +21,7 @@
 from tests.world import ROOT
 
 UPGRADE = scenario.load(ROOT / "scenarios" / "upgrade.toml")
+STAFF = scenario.load(ROOT / "scenarios" / "staff.toml")
 # What each found is in the commits: files that came back or had one name, a full disk, order at a door.
 ONCE_FAILED = (1, 19, 36, 48, 68, 116, 119, 147, 150, 185, 215, 223, 251, 255)
 SMALL: dict[str, Any] = exhaust.WORLD | {
@@ -107,6 +109,18 @@
     monkey.setattr(Driver, "knew", lambda self, ref: False)
 
 
+def ban_lost(monkey: pytest.MonkeyPatch) -> None:
+    """Which hosts are out is not read at a start."""
+    monkey.setattr(Outs, "_read", lambda self: self.hosts)
+
+
+def banned() -> Scenario:
+    """The one host is taken out, the relay upgraded, and messages go on coming."""
+    events = [{"at_s": 0.05, "what": "out", "len_s": 1.1, "count": 2}, {"at_s": 0.15, "what": "upgrade"}]
+    late = [{**message, "at_s": 0.75 + 0.01 * number} for number, message in enumerate(SMALL["message"])]
+    return Scenario.model_validate(SMALL | {"event": events, "message": late})
+
+
 def waiting() -> Scenario:
     """Every call is refused with a wait of seconds, and the relay is upgraded at once."""
     kind = SMALL["kind"][0] | {"wait_ms": (2000, 2500)}
@@ -120,6 +134,7 @@
         (waits_left_behind, waiting, {"waits"}),
         (door_unread, small, {"lost"}),
         (read_anew, roomy, {"twice"}),
+        (ban_lost, banned, {"drains"}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
 )
@@ -132,6 +147,13 @@
     assert rules <= {breach.rule for breach in verdict.breaches}
 
 
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_hosts_out_by_hand_are_left_alone_through_kills_and_upgrades(seed: int, tmp_path: Path) -> None:
+    _, record, verdict = judged(swarm(STAFF, seed), tmp_path)
+    assert (verdict.state, verdict.breaches) == ("kept", ())
+    assert sum(isinstance(event, rec.Hand) for event in record.events) > 0
+
+
 def test_an_upgrade_needs_a_console() -> None:
     with pytest.raises(ValueError, match="console is off"):
         Scenario.model_validate(SMALL | {"relays": {"count": 1}})
