--- a/tests/sim/test_sweep.py
+++ b/tests/sim/test_sweep.py
@@ -106,4 +106,7 @@
     whats = {event.what for item in drawn for event in item.events}
     assert whats >= {"kill", "term", "move", "wipe", "full", "stall", "jump", "apart", "drain", "power"}
     assert {strike.what for item in drawn for strike in item.strikes} >= {"kill", "EIO", "short", "ENOSPC"}
-    assert len(KINDS) == 21
+    assert not whats & {"upgrade", "out"}  # those need a console
+    staffed = scenario.load(ROOT / "scenarios" / "staff.toml")
+    assert {"upgrade", "out"} <= {event.what for seed in range(3) for event in swarm(staffed, seed).events}
+    assert len(KINDS) == 23
