Serve on without a descriptor for the folder's locks; tell it once

Seen while reading: the owner looks at the folder ten times a second; where a crowd of clients has used up the descriptors, opening the lock's file raised out of the loop of places and would have ended the process. Change: not known counts as nobody waiting, a door's files are looked for again, and the cause is told once. Test: a disk that opens nothing.

--- a/mallowlug/upgrade/locks.py
+++ b/mallowlug/upgrade/locks.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+import logging
 from pathlib import Path
 
 from mallowlug.system import APPEND, Disk
 
+LOG = logging.getLogger(__name__)
+
 
 class Lock:
     """One file's lock; the file stays where it is, empty."""
@@ -27,12 +30,14 @@
         """Take it, if nobody has it; whether it is held now. ``OSError`` where the file cannot be had."""
         if self.held:
             return True
-        fd = self._disk.open(self._path, APPEND)
-        if self._disk.lock(fd):
-            self._fd = fd
-        else:
-            self._disk.close(fd)
-        return self.held
+        fd, held = self._disk.open(self._path, APPEND), False
+        try:
+            held = self._disk.lock(fd)
+        finally:
+            if not held:
+                self._disk.close(fd)
+        self._fd = fd if held else -1
+        return held
 
     def free(self) -> None:
         """Let it go."""
@@ -46,6 +51,7 @@
 
     def __init__(self, folder: Path, disk: Disk) -> None:
         self._owner, self._next = Lock(folder / "owner", disk), Lock(folder / "next", disk)
+        self._told = set[int | None]()
 
     @property
     def owns(self) -> bool:
@@ -54,26 +60,41 @@
 
     def step_up(self) -> bool:
         """Wait in line, by being called again; True once this process owns the messages."""
-        if self._next.take() and self._owner.take():
-            self._next.free()
+        try:
+            if self._next.take() and self._owner.take():
+                self._next.free()
+        except OSError as error:
+            self._cannot(error)
         return self.owns
 
     def wanted(self) -> bool:
-        """Whether another process waits to follow this one."""
-        if not self._next.take():
-            return True
-        self._next.free()
+        """Whether another process waits to follow this one; not known counts as no."""
+        try:
+            if not self._next.take():
+                return True
+            self._next.free()
+        except OSError as error:
+            self._cannot(error)
         return False
 
+    def _cannot(self, error: OSError) -> None:
+        """Told once for each kind: it is tried again many times a second."""
+        if error.errno not in self._told:
+            self._told.add(error.errno)
+            LOG.error("upgrade: the folder's locks cannot be had: %s", error)
+
     def hand_over(self) -> None:
         """Let the messages go to the one that waits."""
         self._owner.free()
 
     def take_back(self) -> bool:
         """Own the messages again, if the one that was to follow is gone and nobody else waits."""
-        if self._next.take():
-            self._owner.take()
-            self._next.free()
+        try:
+            if self._next.take():
+                self._owner.take()
+        except OSError as error:
+            self._cannot(error)
+        self._next.free()
         return self.owns
 
     def leave(self) -> None:
--- a/mallowlug/upgrade/shift.py
+++ b/mallowlug/upgrade/shift.py
@@ -86,22 +86,15 @@
 
     async def come_up(self) -> None:
         """Wait until this process owns the messages."""
-        self.followed = not self._step_up()
+        self.followed = not self.line.step_up()
         while not self.line.owns:
             await asyncio.sleep(STEP_S / 2)
             self._staff.hear()
-            self._step_up()
+            self.line.step_up()
         if self._hup != (now := self._read_hup()):
             self._hup = now
             self._staff.reread()
 
-    def _step_up(self) -> bool:
-        try:
-            return self.line.step_up()
-        except OSError as error:
-            LOG.error("upgrade: the folder's locks cannot be had: %s", error)
-            return False
-
     def take_up(self) -> None:
         """Go on from what the one before has left."""
         self._adoption.tidy()
@@ -163,20 +156,13 @@
 
     async def _keep_the_door(self) -> None:
         """Pass on what clients still bring, until the end, or until nobody follows."""
-        while self._staff.told_to_end or not self._take_back():
+        while self._staff.told_to_end or not self.line.take_back():
             self._share()
             await asyncio.sleep(STEP_S)
         if self.door is not None:
             self.door.close()
             self.door = None
 
-    def _take_back(self) -> bool:
-        try:
-            return self.line.take_back()
-        except OSError as error:
-            LOG.error("upgrade: the folder's locks cannot be had: %s", error)
-            return False
-
     def _share(self) -> None:
         """Hear what the other process's staff were told."""
         self._staff.hear()
--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -134,15 +134,19 @@
     def __init__(self, folder: Path, disk: Disk, durable: bool = False) -> None:
         self._folder, self._disk, self._durable = folder, disk, durable
 
-    def tidy(self) -> None:
+    def tidy(self) -> None:  # raises ``OSError``: a start that cannot read its folder has no use
         """Remove what a door had begun when it was killed; one that lives finds out, and refuses."""
         for name in self._disk.names(self._folder):
             if name.startswith(NEW):
                 self._disk.unlink(self._folder / name)
 
     def look(self, driver: Driver) -> bool:
-        """Adopt what is there now; whether any file was there."""
-        names = sorted(name for name in self._disk.names(self._folder) if name.startswith(PREFIX))
+        """Adopt what is there now; whether any file was there, or nobody can tell."""
+        try:
+            names = sorted(name for name in self._disk.names(self._folder) if name.startswith(PREFIX))
+        except OSError as error:  # no descriptor is left, perhaps; it is looked again soon
+            LOG.debug("door: the folder cannot be read: %s", error)
+            return True
         for name in names:
             try:
                 self._adopt(name, driver)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,13 +8,15 @@
 import sys
 from collections import Counter
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 
 from mallowlug.core.binds import Binds
-from mallowlug.system import POSIX
+from mallowlug.system import POSIX, PosixDisk
 from mallowlug.upgrade import binds as told
 from mallowlug.upgrade.locks import Succession
+from mallowlug.upgrade.spool import Adoption
 from tests.world import ROOT, Client, World, called, delivered, free_port, silent, soon
 
 Process = asyncio.subprocess.Process
@@ -345,6 +347,27 @@
     assert first.take_back() and first.owns
 
 
+class Unreadable(PosixDisk):
+    """A machine without descriptors."""
+
+    @staticmethod
+    def open(path: Path, flags: int) -> int:
+        raise OSError(24, "Too many open files")
+
+    @staticmethod
+    def names(folder: Path) -> list[str]:
+        raise OSError(24, "Too many open files")
+
+
+def test_without_a_descriptor_the_owner_serves_on(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    """Crowds of clients use descriptors up; the looks go on many times a second, and are told once."""
+    line = Succession(tmp_path, Unreadable())
+    assert [line.wanted() for _ in range(50)] == [False] * 50
+    assert not line.step_up() and not line.take_back()
+    assert caplog.text.count("Too many open files") == 1
+    assert Adoption(tmp_path, Unreadable()).look(Mock())
+
+
 def test_a_file_of_what_binds_is_bounded_and_may_be_absurd(tmp_path: Path) -> None:
     rows = {dest: [["h" * 40, "127.0.0.1", 80, "a", "k", "ready", 1.0, False]] for dest in range(1000)}
     many = Binds({"h1": 5}, [("h1", 5, 1.0, 2.0, 3.0, -1, 0)], 7, rows, [f"id-{n}" for n in range(512)])
