--- a/mallowlug/core/journal.py
+++ b/mallowlug/core/journal.py
@@ -28,7 +28,9 @@
 FRAME = struct.Struct("<4sII")
 BLOCK = 512  # files count in whole blocks
 MOST_RECORD = 128 * 1024  # bytes; a longer length can only be damage
-RESERVE = 1536  # bytes kept free for the later records of each open message: six attempts and an end
+# Bytes of an attempt with its proof, and of an end with its confirmation, without the message's id, which
+# stands twice in each: 122 and 86 with ids of 16 characters, and hosts' ids of 10.
+EACH_ATTEMPT, END = 120, 80
 SLACK_BYTES = 256 * 1024  # garbage that is worth a compaction
 
 
@@ -107,6 +109,9 @@
         self._live: dict[str, list[bytes]] = {}  # raw records of each message that is not over
         self._cares: dict[str, bytes] = {}  # by endpoint: the raw record of the care that is due there
         self._live_bytes = 0
+        # What open messages may still come to at most: their own records, and room for all later ones.
+        self._bound_bytes, self._bounds = 0, dict[str, int]()
+        self.most = 8  # attempts that a message may have
         self._owed: list[bytes] = []  # notes that the disk did not take yet
         # What was written since the last sync; whether one has failed: after that nothing written before it
         # is known to be safe, and syncing again proves nothing (Rebello et al., USENIX ATC 2020).
@@ -184,6 +189,9 @@
         kind, ref = head[0], head[1]
         if kind == "in":
             self._live[ref] = [raw]
+            later = self.most * (EACH_ATTEMPT + 2 * len(ref)) + END + 2 * len(ref)
+            self._bounds[ref] = len(raw) + later
+            self._bound_bytes += self._bounds[ref]
             if "rules" in head[2]:
                 self._under[ref] = int(head[2]["rules"])
         elif kind == "rules":
@@ -203,6 +211,7 @@
         elif kind == "over":
             self._live_bytes -= sum(map(len, self._live.pop(ref)))
             self._under.pop(ref, None)
+            self._bound_bytes -= self._bounds.pop(ref)
             return
         else:
             self._live[ref].append(raw)
@@ -228,8 +237,12 @@
         """Take a message on, with room left for everything that may still be said of it."""
         head = ["in", ref, fields]
         raw = framed(head, body)
-        after = self._live_bytes + len(raw) + RESERVE * (len(self._live) + 1)
-        if 2 * blocks(after) > self._budget:  # old and new log stand side by side during compaction
+        # What is open has to fit twice, as old and new log stand side by side during a compaction. What may
+        # come to it has to fit once: records of what is open are no garbage, and need no compaction.
+        later = self.most * (EACH_ATTEMPT + 2 * len(ref)) + END + 2 * len(ref)
+        others = sum(map(len, (*self._rules.values(), *self._cares.values(), *self._spools.values())))
+        most = self._bound_bytes + len(raw) + later + others
+        if max(2 * blocks(self._live_bytes + len(raw)), blocks(most)) > self._budget - 2 * BLOCK:
             raise JournalFullError("the budget is used up by open messages")
         self._append([(head, raw)])
         try:
@@ -342,7 +355,7 @@
         new = [raw for _, raw in records]
         data = b"".join((*self._owed, *new))
         if self._size + len(data) + self._live_bytes > min(
-            self._budget - blocks(len(data)), 2 * self._live_bytes + SLACK_BYTES
+            self._budget - blocks(len(data)) - 2 * BLOCK, 2 * self._live_bytes + SLACK_BYTES
         ):
             self._compact()
             data = b"".join((*self._owed, *new))
@@ -366,6 +379,8 @@
 
         A durable one is synced before it takes the old one's name, and the name before it is relied on.
         """
+        if blocks(self._size) + blocks(self._live_bytes) > self._budget and not forced:
+            return  # no room for both; what is open still fits, and its ends make room
         live = (raw for records in self._live.values() for raw in records)
         data = b"".join((*self._rules.values(), *live, *self._cares.values(), *self._spools.values()))
         small = len(data) < self._size or forced
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -100,6 +100,7 @@
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
         self._known_rules: dict[int, api.Rules] = {}
+        journal.most = settings.max_attempts
         self._dropped: dict[str, api.MessageClass] = {}  # classes that clients may still name for a moment
         self._numbers: dict[str, int] = {}
         self._numbers = self._numbered(settings)
@@ -230,6 +231,7 @@
         if settings == self._set:
             return
         before, self._set = self._classes, settings
+        self._journal.most = settings.max_attempts
         self._classes = {cls.name: cls for cls in settings.classes}
         self._dropped = {name: cls for name, cls in before.items() if name not in self._classes}
         if not self._retired:
