--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from pathlib import Path
 
 import pytest
@@ -163,3 +164,49 @@
     want = [state for size, state in states if size <= end][-1]
     found = reopened(folder).recovered
     assert {ref: (m.body, len(m.attempts), m.notice) for ref, m in found.items()} == want
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_what_is_open_always_has_room_and_ends_make_room_again(tmp_path: Path, seed: int) -> None:
+    """At the edge of the budget: only new messages are refused, never a record of an open one; and the log
+    never stands still full of garbage.
+    """
+    disk, rng = 120_000, random.Random(seed)
+    journal, left = Journal(tmp_path, disk, POSIX.disk), dict[str, int]()
+    journal.most = 6
+    taken = refused = 0
+    for number in range(4000):
+        ref = f"{number:016x}"
+        try:
+            accept(journal, ref, size=rng.randrange(600))
+            left[ref] = 0
+            taken += 1
+        except JournalFullError:
+            refused += 1
+        for open_ref in rng.sample(sorted(left), min(len(left), rng.randrange(6))):
+            if left[open_ref] < journal.most and rng.random() < 0.8:
+                journal.tries([(open_ref, Attempt(left[open_ref], "s-5be2a07c9", "floor-2", 1 << 50))])
+                journal.never_ran(open_ref, left[open_ref])
+                left[open_ref] += 1
+            elif rng.random() < 0.7:
+                assert journal.end(open_ref, "bounced", 2000)
+                journal.over(open_ref)
+                del left[open_ref]
+        assert not journal.owes
+        assert sum(blocks(path.stat().st_size) for path in tmp_path.iterdir()) <= disk
+    assert refused > 100 and taken > 500
+    assert set(reopened(tmp_path, disk).recovered) == set(left)
+    for ref in left:
+        journal.over(ref)
+    accept(journal, "again", size=600)
+
+
+def test_room_for_what_may_come_is_counted_once(tmp_path: Path) -> None:
+    """Counted twice, and for records that are written already, it left room for fewer than 800 of them."""
+    journal, count = Journal(tmp_path, 3_000_000, POSIX.disk), 0
+    journal.most = 6
+    with pytest.raises(JournalFullError):
+        while True:
+            accept(journal, f"{count:016x}", size=12)
+            count += 1
+    assert count > 1800
