--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -312,6 +312,34 @@
     assert "relay_conf_loaded_total 0\n" in text  # it was not this process that got the signal
 
 
+async def test_a_sighup_while_it_waits_in_line_counts_once_it_serves(world: World) -> None:
+    """Two of them close together, the first for a file that is cut off."""
+    await served(world, "h1")
+    assert world.process is not None
+    os.kill(world.process.pid, signal.SIGSTOP)  # it does not hand over meanwhile
+    process, console = await beside(world)
+
+    async def counted(name: str) -> None:
+        while f"relay_{name} 1\n" not in (await called(console, "GET", "/metrics"))[1]:
+            await asyncio.sleep(0.01)
+
+    await until_ready(console, False)  # it listens, and says no
+    whole = (world.folder / "config.json").read_text(encoding="utf-8")
+    (world.folder / "config.json").write_text(whole[: len(whole) // 2], encoding="utf-8")
+    process.send_signal(signal.SIGHUP)
+    await soon(counted("conf_invalid_total"))
+    new = {**world.settings["request_classes"][1], "name": "new"}
+    world.settings["request_classes"] = [*world.settings["request_classes"], new]
+    world.environment()
+    process.send_signal(signal.SIGHUP)
+    await soon(counted("conf_loaded_total"))
+    os.kill(world.process.pid, signal.SIGCONT)
+    await until_ready(console)
+    world.process.kill()
+    await world.process.wait()
+    assert await (await world.client()).hand_in("m1", "new") == b"+OK"
+
+
 async def test_a_process_in_line_is_not_ready_and_ends_at_once_when_told(world: World) -> None:
     _, console = await served(world, "h1")
     first, one = await beside(world)
