--- a/tests/sim/test_upgrades.py
+++ b/tests/sim/test_upgrades.py
@@ -13,9 +13,10 @@
 from mallowlug.rig.sim import exhaust
 from mallowlug.rig.sim.disk import SimDisk
 from mallowlug.rig.sim.faults import swarm
+from mallowlug.rig.sim.process import STATE
 from mallowlug.rig.sim.sweep import WHEN, played
 from mallowlug.rig.world import scenario
-from mallowlug.rig.world.scenario import Scenario
+from mallowlug.rig.world.scenario import EventTable, Scenario
 from mallowlug.upgrade import spool
 from tests.sim.worlds import Patch, judged, planted
 from tests.world import ROOT
@@ -154,6 +155,45 @@
     assert sum(isinstance(event, rec.Hand) for event in record.events) > 0
 
 
+def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> tuple[int, int, bool]:
+    """Upgrades with bodies of 9 kB, which fill the budget: the folder's size at most, how often a log was
+    compacted while a door's file stood there, and whether every rule was kept.
+    """
+    relays = UPGRADE.relays.model_copy(update={"disk_mb": 0.8})
+    load = UPGRADE.load.model_copy(update={"body": 9000})
+    events = tuple(EventTable(at_s=1 + at * 0.45, what="upgrade", relay=at % 2) for at in range(28))
+    world = UPGRADE.model_copy(update={"relays": relays, "load": load, "events": events})
+    sizes, beside = list[int](), 0
+    real = SimDisk.write
+
+    def writing(self: SimDisk, fd: int, data: bytes) -> int:
+        nonlocal beside
+        taken = real(self, fd, data)
+        names = {path.name for path in self.files}
+        beside += "journal.new" in names and any(name.startswith("door.") for name in names)
+        sizes.append(sum(-(-len(file.data) // 512) * 512 for path, file in self.files.items()
+                         if path.parent == STATE))  # fmt: skip
+        return taken
+
+    monkeypatch.setattr(SimDisk, "write", writing)
+    kept = judged(world, tmp_path)[2].breaches == ()
+    return max(sizes), beside, kept
+
+
+def test_both_processes_files_fit_the_folder_also_through_compactions(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    size, beside, kept = folder(tmp_path, monkeypatch)
+    assert size <= 800_000 and beside > 0 and kept
+
+
+def test_a_journal_that_takes_more_than_its_part_of_the_folder_is_found(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("mallowlug.compose.STAFF_BYTES", -800_000)
+    assert folder(tmp_path, monkeypatch)[0] > 800_000
+
+
 def test_an_upgrade_needs_a_console() -> None:
     with pytest.raises(ValueError, match="console is off"):
         Scenario.model_validate(SMALL | {"relays": {"count": 1}})
