Let go of the list as it was known once it is taken in, as before the node

Seen on reading the change once more: serve() held its configuration, and with it the known list, for the process's life; before, both were let go of on purpose. The console's set of known hosts was kept as well after the list itself answers.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -84,6 +84,7 @@
 async def serve(cfg: config.Config, system: System, extras: config.Extras = config.NOTHING) -> int:
     """Run until SIGTERM or until the step loop breaks; the exit code."""
     node = Node(cfg, system, extras)
+    del cfg  # it holds the list as it was known, by far the largest thing here with many destinations
     return await node.run()
 
 
@@ -220,7 +221,7 @@
         driver.start(known, binds)
         if self.driver is not None:
             driver.sent_before = self.driver.now.sends
-        self._desk.driver = driver
+        self._desk.driver, self._desk.names = driver, set()  # the list itself answers from now on
         return driver
 
     def retire(self) -> None:
