--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -99,7 +99,6 @@
         self._next_s = 0.0  # when the next step is allowed
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
-        self._known_rules: dict[int, api.Rules] = {}
         journal.most = settings.max_attempts
         self._dropped: dict[str, api.MessageClass] = {}  # classes that clients may still name for a moment
         self._numbers: dict[str, int] = {}
@@ -351,12 +350,13 @@
 
     def _rules(self, number: int) -> api.Rules | None:
         """The rules of that number; None where the journal does not know them."""
-        if (rules := self._known_rules.get(number)) is None and number in self._journal.rules:
-            try:
-                rules = self._known_rules[number] = rules_of(self._journal.rules[number])
-            except (KeyError, TypeError, ValueError) as error:
-                LOG.error("journal: rules %d cannot be read: %s", number, error)
-        return rules
+        if (told := self._journal.rules.get(number)) is None:
+            return None
+        try:
+            return rules_of(told)
+        except (KeyError, TypeError, ValueError) as error:
+            LOG.error("journal: rules %d cannot be read: %s", number, error)
+            return None
 
     def _arrival(self, handed: Handed, now_us: int, **former: Any) -> api.Arrival:
         left_us = handed.deadline_us - now_us
