--- a/mallowlug/core/outs.py
+++ b/mallowlug/core/outs.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from mallowlug.system import Disk, save
+from mallowlug.system import Disk, swap
 
 LOG = logging.getLogger(__name__)
-FILE, SPARE = "out", "out.new"
+FILE = "out"
 MOST_BYTES = 2048  # of the file: it shares the folder's budget with the journal
 MOST_ID = 128  # characters of a host's id
 
@@ -45,8 +45,7 @@
     """Which hosts are out. ``changed`` hears of every change, once it is kept."""
 
     def __init__(self, folder: Path, disk: Disk, durable: bool = False) -> None:
-        self._folder, self._disk, self._durable = folder, disk, durable
-        self._path, self._spare = folder / FILE, folder / SPARE
+        self._path, self._disk, self._durable = folder / FILE, disk, durable
         self.changed: Callable[[str, bool], None] = lambda _host, _out: None
         self.hosts: dict[str, None] = {}
         self.hosts = self._read()
@@ -89,11 +88,8 @@
         if len(data) > MOST_BYTES and len(hosts) > len(self.hosts):
             return "too many hosts are out already"
         try:
-            if not save(self._disk, self._spare, data, self._durable):
+            if not swap(self._disk, self._path, data, self._durable):
                 return "the disk is full"
-            self._disk.replace(self._spare, self._path)
-            if self._durable:
-                self._disk.sync_folder(self._folder)
         except OSError as error:
             LOG.error("hosts out: %s not kept: %s", host, error)
             return f"not kept: {error}"
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -108,6 +108,20 @@
         disk.close(fd)
 
 
+def swap(disk: Disk, path: Path, data: bytes, durable: bool = False) -> bool:
+    """Put a small file in another's place by one rename, so that nobody finds a part of it.
+
+    False where it could not be written whole, and the old one stands; ``OSError`` where that cannot be.
+    """
+    spare = path.with_name(f"{path.name}.new")
+    if not save(disk, spare, data, durable):
+        return False
+    disk.replace(spare, path)
+    if durable:
+        disk.sync_folder(path.parent)
+    return True
+
+
 class PosixDisk:
     """The machine's files."""
 
--- a/mallowlug/upgrade/binds.py
+++ b/mallowlug/upgrade/binds.py
@@ -11,10 +11,10 @@
 import msgspec
 
 from mallowlug.core.binds import Binds
-from mallowlug.system import Disk, save
+from mallowlug.system import Disk, swap
 
 LOG = logging.getLogger(__name__)
-FILE, SPARE = "binds", "binds.new"
+FILE = "binds"
 MOST_BYTES = 24 * 1024  # of the file; a longer list is left out, and the directory's is waited for
 
 
@@ -34,13 +34,10 @@
         binds.learned = []
         data = msgspec.json.encode(binds)
     try:
-        if not save(disk, folder / SPARE, data):
-            return False
-        disk.replace(folder / SPARE, folder / FILE)
+        return swap(disk, folder / FILE, data)
     except OSError as error:
         LOG.error("handover: what binds beside the journal was not kept: %s", error)
         return False
-    return True
 
 
 def take(folder: Path, disk: Disk) -> Binds | None:
