Rig: one call at a console for bench and simulation, one place that notes an end

The benchmark had its own call at a console and a number nobody read; an upgrade in the simulation noted an exit in four places, kept a kernel that it did not use and a task around a task.

--- a/bench/process.py
+++ b/bench/process.py
@@ -126,22 +126,9 @@
         await found.end(kill=True)
 
 
-def beside(environ: dict[str, str], number: int) -> dict[str, str]:
+def beside(environ: dict[str, str]) -> dict[str, str]:
     """The environment of one more process of a relay: all the same, but for its console."""
-    return environ | {"ROUTER_CONSOLE": f"127.0.0.1:{free_port()}", "BENCH_NUMBER": str(number)}
-
-
-async def asked(console: str, target: str = "/ready") -> int:
-    """The status that a console answers; 0 where nobody listens yet."""
-    host, _, port = console.rpartition(":")
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(f"GET {target} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
-        line = await reader.readline()
-        writer.close()
-        return int(line.split(b" ")[1]) if line else 0
-    except OSError:
-        return 0
+    return environ | {"ROUTER_CONSOLE": f"127.0.0.1:{free_port()}"}
 
 
 def relay_config(
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.process import Process, asked, beside, free_port, relay_config, running
+from bench.process import Process, beside, free_port, relay_config, running
 from bench.standins import Client, Directory, Sink, requests, serve
+from mallowlug.config import address_of
+from mallowlug.rig.run.relays import asked
 
 CLIENTS, WINDOW = 16, 8  # clients, and requests of each without an answer
 BODY = 200  # bytes
@@ -77,7 +79,7 @@
         port, environ = relay_config(Path(name), directory.whole(), face_port, SLOTS, held)
         command = ["-m", "mallowlug"]
         if console:
-            environ = beside(environ, 0)
+            environ = beside(environ)
         if profile is not None:
             command = ["-m", "bench.profiled", str(profile)]
         async with running(Path(name), port, command, environ) as process:
@@ -112,15 +114,16 @@
         found = list[Upgraded]()
         async with AsyncExitStack() as stack:
             old = await stack.enter_async_context(
-                running(folder, port, ["-m", "mallowlug"], beside(environ, 0))
+                running(folder, port, ["-m", "mallowlug"], beside(environ))
             )
             task = asyncio.create_task(load.run())
-            for number in range(1, count + 1):
-                told = beside(environ, number)
+            for _ in range(count):
+                told = beside(environ)
+                console = address_of(told["ROUTER_CONSOLE"])
                 load.fresh()
                 began_s = asyncio.get_running_loop().time()
                 new = await stack.enter_async_context(running(folder, port, ["-m", "mallowlug"], told))
-                while await asked(told["ROUTER_CONSOLE"]) != 200:
+                while await asked(console, "GET", "/ready") != 200:
                     await asyncio.sleep(0.01)
                 yes_s = asyncio.get_running_loop().time() - began_s
                 await old.end()
--- a/mallowlug/rig/run/relays.py
+++ b/mallowlug/rig/run/relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import shutil
@@ -37,6 +38,18 @@
         return found
 
 
+async def asked(console: tuple[str, int], method: str, target: str) -> int:
+    """One call at a console: the status; 0 where there is no answer within a second."""
+    with contextlib.suppress(OSError, TimeoutError, IndexError, ValueError):
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*console)
+            writer.write(f"{method} {target} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
+            answer = await reader.read()
+            writer.close()
+            return int(answer.split(b" ", 2)[1])
+    return 0
+
+
 class Process(Protocol):
     """What is asked of a process that runs; ``asyncio.subprocess.Process`` is one."""
 
--- a/mallowlug/rig/sim/ground.py
+++ b/mallowlug/rig/sim/ground.py
@@ -90,7 +90,7 @@
         elif event.what == "power":
             relay.cut_power()
         elif event.what == "upgrade":
-            await Upgrade(relay, self.kernel, event).play()
+            await Upgrade(relay, event).play()
         elif event.what == "stall":
             await self._stall(relay, event.len_s)
         else:
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -22,7 +22,7 @@
 from mallowlug import config
 from mallowlug.compose import serve
 from mallowlug.rig.judge import record as rec
-from mallowlug.rig.run.relays import Process, Relay
+from mallowlug.rig.run.relays import Process, Relay, asked
 from mallowlug.rig.sim.disk import SimDisk
 from mallowlug.rig.sim.loop import LIFE, Killed, Life, SimLoop, vars_of
 from mallowlug.rig.sim.net import Network, SimSocket, failure
@@ -107,18 +107,6 @@
     return "send.answer"
 
 
-async def asked(console: tuple[str, int], method: str, target: str) -> int:
-    """One call at a console: the status; 0 where there is no answer within a second."""
-    with contextlib.suppress(OSError, TimeoutError, IndexError, ValueError):
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(*console)
-            writer.write(f"{method} {target} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
-            answer = await reader.read()
-            writer.close()
-            return int(answer.split(b" ", 2)[1])
-    return 0
-
-
 @dataclass(slots=True)
 class Struck:
     """A strike that fell."""
--- a/mallowlug/rig/sim/upgrade.py
+++ b/mallowlug/rig/sim/upgrade.py
@@ -10,8 +10,8 @@
 import contextlib
 import signal
 
-from mallowlug.rig.run.relays import TERM_S
-from mallowlug.rig.sim.process import Kernel, SimProcess, SimRelay, asked
+from mallowlug.rig.run.relays import TERM_S, asked
+from mallowlug.rig.sim.process import SimProcess, SimRelay
 from mallowlug.rig.world.scenario import EventTable
 
 READY_S = 6.0  # s in which the new process has to say yes
@@ -22,8 +22,8 @@
 class Upgrade:
     """One upgrade of one relay."""
 
-    def __init__(self, relay: SimRelay, kernel: Kernel, event: EventTable) -> None:
-        self._relay, self._kernel, self._event = relay, kernel, event
+    def __init__(self, relay: SimRelay, event: EventTable) -> None:
+        self._relay, self._event = relay, event
         self._loop = asyncio.get_running_loop()
         self._ended = False  # whether an end of the owner is noted that no beginning has followed yet
 
@@ -38,7 +38,7 @@
             self._relay.lives += 1
             watching = self._loop.create_task(self._watch(old, new))
             if self._event.len_s:
-                await self._kill_later(new if self._event.back else old)
+                self._killing = self._loop.create_task(self._kill_later(new if self._event.back else old))
             yes = await self._yes(new)
             if yes and new.returncode is None:
                 self._relay.process = new
@@ -54,22 +54,21 @@
             await self._relay.up(0.05)
 
     async def _kill_later(self, process: SimProcess) -> None:
-        async def later() -> None:
-            await asyncio.sleep(self._event.len_s)
-            self._strike(process)
-
-        self._killing = self._loop.create_task(later())
+        await asyncio.sleep(self._event.len_s)
+        self._strike(process)
 
     def _strike(self, process: SimProcess) -> None:
         """SIGKILL; where it owned the messages, the relay has ended for a moment."""
         if process.returncode is None:
-            self._note_end(process)
+            if self._relay.owner() is process.life and not self._ended:
+                self._relay.note("kill")
+                self._exit(-9)
             process.kill()
 
-    def _note_end(self, process: SimProcess) -> None:
-        if self._relay.owner() is process.life and not self._ended:
-            self._relay.note("kill")
-            self._relay.note("exit", "-9")
+    def _exit(self, code: int) -> None:
+        """Who owned the messages is gone; noted once until another one owns them."""
+        if not self._ended:
+            self._relay.note("exit", str(code))
             self._ended = True
 
     def _begun(self) -> None:
@@ -80,9 +79,8 @@
     async def _watch(self, old: SimProcess, new: SimProcess) -> None:
         """Note the old one's end at once, also by a strike of the kernel, if it owned the messages."""
         code = await old.wait()
-        if self._relay.process is old and self._relay.owner() is not new.life and not self._ended:
-            self._relay.note("exit", str(code))
-            self._ended = True
+        if self._relay.process is old and self._relay.owner() is not new.life:
+            self._exit(code)
 
     async def _yes(self, new: SimProcess) -> bool:
         """Whether the new process says at its console that it is ready, in time."""
@@ -102,15 +100,11 @@
             if self._relay.owner() is old.life:
                 self._begun()
                 return True
-            if not self._ended:
-                self._relay.note("exit", "-9")
-                self._ended = True
+            self._exit(-9)
             await asyncio.sleep(LOOK_S)
         if old.returncode is None:
             old.kill()
-        if not self._ended:
-            self._relay.note("exit", "-9")
-            self._ended = True
+        self._exit(-9)
         return False
 
     async def _end(self, old: SimProcess) -> None:
