--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -9,12 +9,12 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import asdict, dataclass, fields
 from itertools import islice
 from typing import Any
 
-from mallowlug.core.binds import Binds
+from mallowlug.core.binds import Binds, Learnt
 from mallowlug.core.clock import Clock
 from mallowlug.core.figures import Figures, Now
 from mallowlug.core.journal import Attempt, Journal, JournalFullError, Recovered
@@ -105,6 +105,7 @@
         self._numbers = self._numbered(settings)
         self._chore: asyncio.TimerHandle | None = None  # when what is owed to the disk is tried again
         self._listings, self._outs = listings, outs
+        self._learned: dict[str, Learnt] = {}  # handed over, of endpoints that the module does not know yet
         self.sent_before = 0  # messages that a core before this one, in the same process, has written whole
         self._retired, self._seq = False, -1  # version of the list that is held
         self.listed = False  # whether a list is known, be it an old one
@@ -141,10 +142,19 @@
         self._partners.wait({route: until_us - now_us for route, until_us in binds.waits.items()})
         for ref in binds.over:
             self._remember(ref)
-        for host, wait_us, quota, pace, rate, cold_us, spaced_us in binds.learned:
-            left = max(0, wait_us - now_us), quota, pace, rate
-            cold = max(0, now_us - cold_us) if cold_us >= 0 else -1
-            self._inbox.append(api.Learned(host, *left, cold, max(0, spaced_us - now_us)))
+        self._learned = {row[0]: row for row in binds.learned}
+        rosters = [event for event in self._inbox if isinstance(event, api.Roster)]
+        self._go_on_from(entry.host for event in rosters for entry in event.entries)
+
+    def _go_on_from(self, hosts: Iterable[str]) -> None:
+        """Tell the module what was learned of endpoints that it knows; of others it would not hear."""
+        now_us = self.clock()
+        for host in hosts:
+            if (row := self._learned.pop(host, None)) is not None:
+                _, wait_us, quota, pace, rate, cold_us, spaced_us = row
+                left = max(0, wait_us - now_us), quota, pace, rate
+                cold = max(0, now_us - cold_us) if cold_us >= 0 else -1
+                self._post(api.Learned(host, *left, cold, max(0, spaced_us - now_us)))
 
     def binds(self) -> Binds:
         """What binds a successor beside the journal."""
@@ -405,6 +415,8 @@
     def _tell(self, news: HostList, kind: api.RosterKind, later: bool = False) -> None:
         self._partners.apply(news)
         self._post(api.Roster(kind, tuple(listed.entry for listed in news.hosts), later))
+        if self._learned:
+            self._go_on_from(listed.entry.host for listed in news.hosts)
 
     def _use(self, dest: int) -> None:
         """A destination gets a message: where it slept, all sides hear of it first."""
--- a/mallowlug/rig/sim/hours.py
+++ b/mallowlug/rig/sim/hours.py
@@ -20,6 +20,7 @@
 from mallowlug.rig.run.play import Options, World, sleep_until
 from mallowlug.rig.sim.disk import SimDisk
 from mallowlug.rig.sim.ground import Simulated, simulate
+from mallowlug.rig.sim.guards import Watch
 from mallowlug.rig.sim.loop import Life, SimLoop
 from mallowlug.rig.sim.net import Network
 from mallowlug.rig.sim.process import SimProcess, SimRelay, SimSystem
@@ -27,7 +28,7 @@
 from mallowlug.rig.world.scenario import Scenario
 
 OUTSIDE = (  # what belongs to the simulation or to the interpreter, and not to a relay
-    SimLoop, SimDisk, SimSystem, Network, Life, Context, types.ModuleType, type, types.FunctionType,
+    SimLoop, SimDisk, SimSystem, Network, Life, Watch, Context, types.ModuleType, type, types.FunctionType,
     types.BuiltinFunctionType, types.CodeType, types.FrameType,
 )  # fmt: skip
 LULL_S = 60.0  # s at an hour's end without traffic or troubles
--- a/mallowlug/upgrade/shift.py
+++ b/mallowlug/upgrade/shift.py
@@ -88,6 +88,7 @@
         self._adoption = Adoption(folder, disk, durable)
         self._heard = 0  # of the SIGHUPs that either process got: how many this one goes by
         self._heard = self._count_hups()
+        self._kept: Binds | None = None  # what this process has handed over
         self._owed = False  # whether this process got one that the other cannot have heard of yet
         self._beside_s = 0.0  # loop's time until which another process is counted on
         self.door: Door | None = None
@@ -114,7 +115,8 @@
         if self.followed or self.door is not None:
             self._staff.hear()
             self._staff.catch_up(binds)
-        driver = self._staff.take_up(binds)
+        driver = self._staff.take_up(binds or self._kept)
+        self._kept = None
         told.drop(self._folder, self._disk)
         self._adoption.look(driver)
         loop = asyncio.get_running_loop()
@@ -162,11 +164,16 @@
             await asyncio.sleep(STEP_S / 4)
         self._adoption.look(driver)
         self._share()  # the last moment: from here to the end nothing else runs in this process
-        if not (driver.settled() and told.keep(self._folder, self._disk, self._staff.binds())):
+        binds = self._staff.binds()
+        if not (driver.settled() and told.keep(self._folder, self._disk, binds)):
             LOG.warning("upgrade: the disk is full or failing; serving on")
             driver.pause(False)
             await asyncio.sleep(REST_S)
             return False
+        # Whoever follows may have read it, and be gone: then the waits in it still bind this process. Not the
+        # list, as that one may have heard of a drain since.
+        binds.seq, binds.rows = -1, {}
+        self._kept = binds
         self.door = Door(self._folder, self._disk, driver, self._durable)
         self._staff.retire()
         self._staff.serve_by(self.door)
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -92,6 +92,10 @@
         .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
         .add(rec.Reach(200 * MS, "n0", False), rec.Reach(700 * MS, "n0", True))
         .add(rec.Process(800 * MS, "n0", "hears")).ask(0, "m").call(1500, "m"),
+        "told while deaf, and heard before its watch ended": lambda: Story()
+        .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
+        .add(rec.Process(400 * MS, "n0", "hears"), rec.Watch(500 * MS, "n0", False))
+        .ask(0, "m").call(1500, "m"),
         "told, then gone": lambda: Story()
         .add(rec.Told(0, "n0", "a1", "draining"), rec.Told(400 * MS, "n0", "a1", "gone"))
         .ask(0, "m").call(700, "m"),
@@ -165,6 +169,9 @@
     .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
     .add(rec.Reach(200 * MS, "n0", False), rec.Process(800 * MS, "n0", "hears"))
     .add(rec.Reach(1200 * MS, "n0", True)).ask(0, "m").call(1500, "m"),
+    "told while deaf, on a watch that ended before it could be read": lambda: Story()
+    .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
+    .add(rec.Watch(300 * MS, "n0", False), rec.Process(400 * MS, "n0", "hears")).ask(0, "m").call(1500, "m"),
     "a wait told behind a restart": lambda: Story()
     .add(rec.Link(0, "hosts", 80 * MS)).ask(0, "m").ask(0, "o").call(160, "m", end="refused", wait=1000)
     .add(rec.Process(90 * MS, "n0", "kill"), rec.Process(91 * MS, "n0", "exit"))
