Judge: a message whose time is up has its end; its notice only tells it

Books.decided took the notice's time for the end's. Checked: PROTOCOL lets a notice come 350 ms late on sockets; a relay's clock goes on over its lives, so the record's time serves for both.

--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -133,6 +133,9 @@
         "no rest after a time-out": lambda: Story()
         .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
         .call(10, "m1", end="gone").notice(100, "m1").call(300, "m2"),
+        "long before the first one's time is up, though its notice comes behind that": lambda: Story()
+        .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
+        .call(11_800, "m2").notice(12_130, "m1"),
         "a try still open though a notice has ended it": lambda: Story()
         .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k")
         .call(10, "m1", end="open").notice(100, "m1").call(1000, "m2"),
@@ -172,6 +175,8 @@
     "told while deaf, on a watch that ended before it could be read": lambda: Story()
     .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
     .add(rec.Watch(300 * MS, "n0", False), rec.Process(400 * MS, "n0", "hears")).ask(0, "m").call(1500, "m"),
+    "sent as the time of the one before was up, whose notice came behind that": lambda: Story()
+    .ask(0, "m1", "line", order="k").ask(5, "m2", "line", order="k").call(11_996, "m2").notice(12_131, "m1"),
     "a wait told behind a restart": lambda: Story()
     .add(rec.Link(0, "hosts", 80 * MS)).ask(0, "m").ask(0, "o").call(160, "m", end="refused", wait=1000)
     .add(rec.Process(90 * MS, "n0", "kill"), rec.Process(91 * MS, "n0", "exit"))
