--- a/mallowlug/rig/sim/guards.py
+++ b/mallowlug/rig/sim/guards.py
@@ -14,7 +14,7 @@
 
 # Verdicts that prove that an attempt had no effect, in words of its own: the module's are under test.
 NO_EFFECT = frozenset((api.Verdict.FULL, api.Verdict.CONNECT_FAILED, api.Verdict.NOT_SENT))
-OVERDUE_US = 300_000  # behind a message's time within which its end has to be decided
+OVERDUE_US = 300_000  # behind the first step after a message's time within which its end has to be decided
 MOST_TOLD = 20  # of one module's lapses
 
 
@@ -30,6 +30,7 @@
     risky_zone: str = ""
     out: dict[int, tuple[str, int]] = field(default_factory=dict)  # by attempt without outcome: host, since
     over: bool = False
+    late_us: int = -1  # the first step behind its time without an end: it may have stood still until then
 
 
 class Watch:
@@ -58,9 +59,12 @@
         for ref, message in list(self._messages.items()):
             if message.over and not message.out:
                 self._forget(ref, message)
-            elif not message.over and now_us > message.due_us + OVERDUE_US:
-                self._lapse("lost", f"{ref} has no end {(now_us - message.due_us) // 1000} ms after its time")
-                message.over = True
+            elif not message.over and now_us > message.due_us:
+                if message.late_us < 0:
+                    message.late_us = now_us
+                elif now_us > message.late_us + OVERDUE_US:
+                    self._lapse("lost", f"{ref} has no end {(now_us - message.due_us) // 1000} ms late")
+                    message.over = True
 
     def _lapse(self, rule: str, line: str) -> None:
         self._left -= 1
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -168,6 +168,11 @@
     .add(rec.Process(800 * MS, "n0", "kill"), rec.Process(801 * MS, "n0", "exit"))
     .add(rec.Process(900 * MS, "n0", "room"), rec.Process(1000 * MS, "n0", "ready"))
     .add(rec.Reach(2000 * MS, "n0", True)).notice(2010, "m", "bounced").notice(2020, "m"),
+    "two ends by a life whose disk had room while it stood still": lambda: Story()
+    .ask(0, "m").add(rec.Process(60 * MS, "n0", "full")).notice(100, "m", "bounced")
+    .add(rec.Process(200 * MS, "n0", "deaf", "stands still"), rec.Process(300 * MS, "n0", "room"))
+    .add(rec.Process(900 * MS, "n0", "kill"), rec.Process(901 * MS, "n0", "exit"))
+    .add(rec.Process(902 * MS, "n0", "hears"), rec.Process(1000 * MS, "n0", "ready")).notice(1100, "m"),
     "told a drain while deaf, then cut off": lambda: Story()
     .add(rec.Told(100 * MS, "n0", "a1", "draining"), rec.Process(50 * MS, "n0", "deaf"))
     .add(rec.Reach(200 * MS, "n0", False), rec.Process(800 * MS, "n0", "hears"))
