A view of the fleet kept by the relays: SWIM, lives, parts with a bound in every cut; off by default

Change: mallowlug/fleet: records (msgspec, bounded, unknown fields passed over), view (a value with its digest), swim (probes, suspicion, local health, tables where digests differ), parts (for how large a group a relay reckons, through the module as a setting), agent (one datagram socket). [fleet] in the operator file, GET /fleet, figures, `mallowlug fleet show|watch|why`. Datagrams go by System, and the simulated kernel carries them; scenarios/fleet.toml. Fault points between real relays: mallowlug/rig/world/fronts.py. Weighed and not taken: docs/design-fleet-view.md. Found on the way: tables paged by rows came over a datagram's size with long names, and were left out; they are paged by bytes now.

--- a/mallowlug/cli/main.py
+++ b/mallowlug/cli/main.py
@@ -14,7 +14,8 @@
 import click.shell_completion
 
 FILE = click.Path(path_type=Path)
-ROOMS = {"rig": "mallowlug.rig.cli", "sim": "mallowlug.rig.sim_cli"}  # groups with libraries of their own
+# Groups that are imported when asked for, most of them with libraries of their own.
+ROOMS = {"fleet": "mallowlug.cli.fleet", "rig": "mallowlug.rig.cli", "sim": "mallowlug.rig.sim_cli"}
 
 
 class Rooms(click.Group):
--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -25,12 +25,15 @@
 from mallowlug.fronts.resp2 import Server
 from mallowlug.partners.http_calls import Hosts
 from mallowlug.system import System
+from mossfront.interface import Settings
 
 if TYPE_CHECKING:
     from mallowlug.console.server import Console
+    from mallowlug.fleet.agent import Agent
     from mallowlug.upgrade.shift import Shift
 
 LOG = logging.getLogger("mallowlug")
+VERSION = "0.2.0"  # of the program, as the other relays of a fleet hear it
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
 SHUT_S = 0.3  # s after SIGTERM when a process that has a successor stops listening: its queue is empty then
@@ -106,6 +109,8 @@
         self._fronts: list[Server] = []
         self._core: Intake | None = None  # what the fronts talk to
         self._shift: Shift | None = None
+        self._fleet: Agent | None = None
+        self._size = 0  # of the group, as it was counted; 0: as the settings tell
 
     @property
     def driver(self) -> Driver | None:
@@ -131,6 +136,8 @@
                 front.close()
             if console is not None:
                 console.close()
+            if self._fleet is not None:
+                self._fleet.close(leaving=True)
             if self.driver is not None:
                 self.driver.close()
             if self._journal is not None:
@@ -223,11 +230,40 @@
         if self.driver is not None:
             driver.sent_before = self.driver.now.sends
         self._desk.driver, self._desk.names = driver, set()  # the list itself answers from now on
+        if self._extras.fleet is not None:
+            self._join(self._extras.fleet)
         return driver
 
+    def _join(self, plan: config.FleetPlan) -> None:
+        """Keep a view of the fleet, which says for how large a group parts are reckoned."""
+        from mallowlug.fleet.agent import Agent, Place  # noqa: PLC0415
+
+        cfg = self._cfg
+        place = Place(
+            plan.name, plan.listen, plan.address, plan.seeds, plan.zone, plan.period_s, plan.settle_s
+        )
+        self._fleet = self._desk.fleet = Agent(
+            cfg.name, place, told=cfg.settings.group_size, folder=cfg.state, system=self._system,
+            version=VERSION, resized=self._resized,
+        )  # fmt: skip
+        self._fleet.open()
+
+    def _resized(self, size: int) -> None:
+        """The group is of another size: through the module, as any setting is."""
+        self._size = size
+        if self.driver is not None:
+            self.driver.change(self._sized(self._cfg.settings))
+
+    def _sized(self, settings: Settings) -> Settings:
+        """Settings with the group as it was counted, where it is."""
+        return replace(settings, group_size=self._size) if self._size else settings
+
     def retire(self) -> None:
         """Close the journal and let go of everything that is out."""
         assert self.driver is not None and self._journal is not None
+        if self._fleet is not None:  # its address is the successor's, who is the same relay's next life
+            self._fleet.close(leaving=False)
+            self._fleet = self._desk.fleet = None
         self.driver.retire()
         self._journal.close()
         self._journal = None
@@ -267,7 +303,7 @@
         self._go_by(cfg)
         self._put_aside()
         if self.driver is not None:
-            self.driver.change(cfg.settings)
+            self.driver.change(self._sized(cfg.settings))
             self.driver.move(cfg.discovery)
         return True
 
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -54,6 +54,19 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """This relay's place in a fleet whose members know of each other."""
+
+    name: str
+    listen: Address
+    address: str  # host:port that others are told
+    seeds: tuple[str, ...] = ()
+    zone: str = ""
+    period_s: float = 1.0  # between two probes
+    settle_s: float = 30.0  # how long a majority holds a death before parts grow
+
+
 @dataclass(frozen=True, slots=True)
 class Extras:
     """What an operator file switches on; as it stands here, nothing."""
@@ -64,6 +77,7 @@
     durable: bool = False  # the journal outlasts the loss of the machine's power
     awake: int = 1024  # destinations that stay awake, used or not
     rest_s: float = 60.0  # s without a use after which one beyond them may sleep
+    fleet: FleetPlan | None = None  # its own view of the other relays; None: it has none
 
 
 NOTHING = Extras()
--- a/mallowlug/console/calls.py
+++ b/mallowlug/console/calls.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qsl
 
 MOST_NAME = 128  # characters of a host's id
+JSON = "application/json"
 TEXT, FIGURES = "text/plain; charset=utf-8", "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -21,6 +22,9 @@
     def figures(self) -> str:
         """The figures, in the exposition format."""
 
+    def members(self) -> str:
+        """The view of the fleet as JSON; empty where none is kept."""
+
     def put_out(self, host: str) -> str:
         """Leave a host out, kept for later lives; else why not (``unknown`` in front: no such host)."""
 
@@ -43,6 +47,7 @@
     table: dict[str, tuple[str, Callable[[], Said]]] = {
         "/ready": ("GET", lambda: ready(relay)),
         "/metrics": ("GET", lambda: Said(200, relay.figures(), FIGURES)),
+        "/fleet": ("GET", lambda: fleet(relay)),
         "/hosts/disable": ("POST", lambda: by_hand(query, relay.put_out)),
         "/hosts/enable": ("POST", lambda: by_hand(query, relay.put_back)),
     }
@@ -61,6 +66,12 @@
     return Said(200, "ready\n") if relay.ready else Said(503, "not ready\n")
 
 
+def fleet(relay: Operated) -> Said:
+    """``GET /fleet``."""
+    text = relay.members()
+    return Said(200, text, JSON) if text else Said(404, "no view of a fleet is kept here\n")
+
+
 def by_hand(query: str, act: Callable[[str], str]) -> Said:
     """A host by its id, named once and nothing beside it."""
     try:
--- a/mallowlug/core/desk.py
+++ b/mallowlug/core/desk.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from mallowlug.core.figures import Figures, Now
 from mallowlug.core.outs import Outs
 from mallowlug.core.relay import Driver
@@ -9,6 +11,16 @@
 NOTHING = Now(0, 0, 0, 0)
 
 
+class FleetView(Protocol):
+    """What staff ask of the view of the fleet."""
+
+    def figures(self) -> str:
+        """Its figures, in the exposition format."""
+
+    def table(self) -> str:
+        """The members as JSON."""
+
+
 class Desk:
     """The process as the console sees it."""
 
@@ -16,6 +28,7 @@
         self._figures, self._outs = figures, outs
         self.driver: Driver | None = None  # once the journal is taken up
         self.names: set[str] = set()  # hosts that are known before the journal is taken up
+        self.fleet: FleetView | None = None  # where this relay keeps a view of the others
         self.serving = False  # listening for clients, and not told to end
 
     @property
@@ -25,7 +38,12 @@
 
     def figures(self) -> str:
         """All figures as text."""
-        return self._figures.text(self.driver.now if self.driver is not None else NOTHING)
+        text = self._figures.text(self.driver.now if self.driver is not None else NOTHING)
+        return text + (self.fleet.figures() if self.fleet is not None else "")
+
+    def members(self) -> str:
+        """The view of the fleet as JSON; empty where none is kept."""
+        return self.fleet.table() if self.fleet is not None else ""
 
     def put_out(self, host: str) -> str:
         """Leave a host out; else why not. One that is out stays so, whether or not it is listed now."""
--- /dev/null
+++ b/mallowlug/fleet/parts.py
@@ -0,0 +1,69 @@
+"""For how large a group a relay reckons its part of what all may take: paces, limits, cold budgets. No I/O.
+
+A smaller view may never loosen what a relay takes: in a cut each side would take the other's part. So a part
+shrinks at once by whoever joins, and grows only by a leave that was said, or by a death that a majority of
+the last settled group holds for ``settle_us``. Whoever sees no majority goes on with its old part.
+
+Bound of the sum of all parts: 1 undisturbed. In a cut one side at most has a majority of n; it comes to a
+group of a > n/2, the others stay at n, so the sum is at most a/a + (n - a)/n < 3/2. Each further cut inside
+the majority may add less than 1/2 in the same way. The group never goes below half of the largest that was
+settled (less those who said that they leave), so with at most that many alive the sum stays within 2,
+however often the fleet is cut.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Parts:
+    """One relay's reckoning.
+
+    ``settle_us``: how long a death is held by a majority before it counts. ``told``: the group that the
+    settings name, which counts until a majority of it has been seen: one that has just started knows nobody.
+    """
+
+    settle_us: int
+    told: int = 1
+    met: bool = False
+    counted: set[str] = field(default_factory=set)  # relays that are reckoned with
+    settled: set[str] = field(default_factory=set)  # the last group that was agreed on
+    largest: int = 1  # settled group so far, less the leaves that were said
+    _agreed: dict[str, int] = field(default_factory=dict)  # by death: since when a majority holds it
+
+    @property
+    def size(self) -> int:
+        """The group for which parts are reckoned, at least 1."""
+        return max(1, len(self.counted), -(-self.largest // 2), 0 if self.met else self.told)
+
+    def update(
+        self, now_us: int, states: Mapping[str, str], agree: Callable[[Collection[str]], int]
+    ) -> int:
+        """Take the view in. ``agree`` tells how many of a group hold the same view as this relay, itself with
+        them. Returns the size.
+        """
+        here = {relay for relay, state in states.items() if state in ("alive", "suspect")}
+        for relay in [relay for relay in self.counted if states.get(relay) == "left"]:
+            self.counted.discard(relay)
+            self.largest -= relay in self.settled
+            self.settled.discard(relay)
+        self.counted |= here
+        self.settled |= here
+        self.largest = max(self.largest, len(self.settled))
+        majority = agree(self.settled)
+        self.met |= 2 * majority > max(self.told, len(self.settled))
+        missing = self.counted - here
+        self._agreed = {relay: at for relay, at in self._agreed.items() if relay in missing}
+        if missing and 2 * majority > len(self.settled):
+            for relay in missing:
+                self._agreed.setdefault(relay, now_us)
+        else:
+            self._agreed.clear()
+        released = {relay for relay, at in self._agreed.items() if now_us - at >= self.settle_us}
+        if released:
+            self.counted -= released
+            self.settled -= released
+            self._agreed = {relay: at for relay, at in self._agreed.items() if relay not in released}
+        return self.size
--- a/mallowlug/operator/model.py
+++ b/mallowlug/operator/model.py
@@ -11,7 +11,7 @@
 from pydantic import AfterValidator, Field, field_validator
 
 from mallowlug import toml_check
-from mallowlug.config import NOTHING, ConfigError, Extras, FrontPlan, address_of
+from mallowlug.config import NOTHING, ConfigError, Extras, FleetPlan, FrontPlan, address_of
 
 
 def an_address(text: str) -> str:
@@ -54,6 +54,24 @@
     rest_s: float = Field(default=NOTHING.rest_s, ge=30.0, le=86_400.0)
 
 
+class FleetTable(toml_check.Strict):
+    """``[fleet]``: relays that keep a view of each other, by datagrams."""
+
+    name: str = Field(pattern=r"^[!-~]{1,64}$")
+    listen: AddressText
+    advertise: AddressText | None = None  # what others are told, where it differs from listen
+    seeds: tuple[AddressText, ...] = Field(default=(), strict=False, max_length=256)
+    zone: str = Field(default="", max_length=64)
+    period_s: float = Field(default=1.0, ge=0.05, le=60.0)
+    settle_s: float = Field(default=30.0, ge=0.0, le=3600.0)
+
+    def plan(self) -> FleetPlan:
+        """As the composition root takes it."""
+        told = self.advertise or self.listen
+        listen = address_of(self.listen)
+        return FleetPlan(self.name, listen, told, self.seeds, self.zone, self.period_s, self.settle_s)
+
+
 class OperatorFile(toml_check.Strict):
     """The whole file; every table may be left out."""
 
@@ -61,6 +79,7 @@
     journal: JournalTable = JournalTable()
     destinations: DestinationsTable = DestinationsTable()
     front: tuple[FrontTable, ...] = Field(default=(), strict=False)
+    fleet: FleetTable | None = None
 
     @field_validator("front")
     @classmethod
@@ -84,4 +103,5 @@
         durable=told.journal.durable,
         awake=told.destinations.awake,
         rest_s=told.destinations.rest_s,
+        fleet=told.fleet.plan() if told.fleet is not None else None,
     )
--- a/mallowlug/rig/sim/ground.py
+++ b/mallowlug/rig/sim/ground.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from mallowlug.config import Extras
+from mallowlug.config import Extras, FleetPlan
 from mallowlug.core import relay as core
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.run.play import Options, play
@@ -40,6 +40,7 @@
         self.kernel = Kernel(loop, self.net, scenario.strikes)
         self.place = Place(self.net.address, itertools.count(1))
         self.relays: list[SimRelay] = []
+        self.seeds: list[str] = []  # of their fleet
         self.writer: rec.Writer | None = None
         self.net.most_sockets = lambda _life: scenario.relays.sockets
         self.kernel.told = self._struck
@@ -77,12 +78,24 @@
         disk = SimDisk(random.Random(f"disk {name} {self.scenario.seed}"))
         self.writer = writer
         told = self.scenario.relays
-        extras = Extras(durable=told.durable, awake=told.awake, rest_s=told.rest_s)
+        extras = Extras(
+            durable=told.durable, awake=told.awake, rest_s=told.rest_s, fleet=self._place(told.fleet)
+        )
         relay = SimRelay(name, self.kernel, Machine(name, disk, extras), writer, config)
         relay.staffed = told.console
         self.relays.append(relay)
         return relay
 
+    def _place(self, on: bool) -> FleetPlan | None:
+        """A relay's place in the fleet: the first two are everybody's seeds, and times a fifth of usual."""
+        if not on:
+            return None
+        address = self.net.address()
+        told = "{}:{}".format(*address)
+        if len(self.relays) < 2:
+            self.seeds.append(told)
+        return FleetPlan("sim", address, told, tuple(self.seeds), period_s=0.2, settle_s=2.0)
+
     async def strike(self, relay: Relay, event: EventTable) -> None:
         """What a real process can't be made to suffer, for as long as it lasts."""
         assert isinstance(relay, SimRelay)
--- a/mallowlug/rig/sim/net.py
+++ b/mallowlug/rig/sim/net.py
@@ -23,6 +23,7 @@
 
 Address = tuple[str, int]
 WINDOW = 128 * 1024  # bytes on their way or unread, after which a sender waits
+MOST_QUEUED = 256  # datagrams that a socket holds unread
 AGAIN_S = 1.0  # s after which a lost request to connect is sent again
 
 
@@ -36,6 +37,15 @@
     piece: int = 0  # bytes at most between two segment boundaries, drawn anew for each
 
 
+@dataclass(slots=True)
+class Faults:
+    """What befalls each datagram: the chances that it is lost or doubled, and by how much it may be late."""
+
+    loss: float = 0.0
+    doubled: float = 0.0
+    late_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Weather:
     """What befalls links: who can't reach whom now, and what was on its way meanwhile."""
@@ -231,6 +241,48 @@
         self.inbox.clear()
 
 
+class SimDatagram(SimSocket):
+    """A bound UDP socket. What is sent may be lost, late, doubled and out of order; nobody is told."""
+
+    type, proto = socket.SOCK_DGRAM, socket.IPPROTO_UDP
+
+    def __init__(self, net: Network, owner: Life | None, here: Address) -> None:
+        super().__init__(net, owner)
+        self.here, self.state = here, "bound"
+        self.queue: deque[tuple[bytes, Address]] = deque()
+
+    def ready(self) -> int:
+        """As of a socket whose sends never wait."""
+        if self.state != "bound":
+            return 0
+        return selectors.EVENT_WRITE | (selectors.EVENT_READ if self.queue else 0)
+
+    def recvfrom(self, size: int) -> tuple[bytes, Address]:
+        """The datagram that has waited longest."""
+        if self.owner is not None and not self.owner.alive:
+            raise Killed
+        if not self.queue:
+            raise failure(errno.EAGAIN)
+        data, source = self.queue.popleft()
+        return data[:size], source
+
+    def sendto(self, data: bytes, address: Address) -> int:
+        """One datagram on its way."""
+        if self.state != "bound":
+            raise failure(errno.EBADF)
+        how = self._enter("sendto", bytes(data))
+        self.net.cast(self, bytes(data), address)
+        self._leave(how)
+        return len(data)
+
+    def drop(self) -> None:
+        """Its address is free again; what was not read is gone."""
+        if self.state == "bound":
+            self.net.unbind(self)
+        super().drop()
+        self.queue.clear()
+
+
 def failure(number: int) -> OSError:
     """The error that a system call ends with."""
     return OSError(number, os.strerror(number))
@@ -245,6 +297,8 @@
         self.dialled: Callable[[str, Address], None] = lambda _place, _address: None  # of every connect
         self.most_sockets: Callable[[Life], int] = lambda _life: 1 << 20
         self._listeners: dict[Address, list[SimSocket]] = {}  # several where all of them share the address
+        self._bound: dict[Address, SimDatagram] = {}
+        self.faults = Faults()
         self._steered: set[Address] = set()  # where the second of them gets every new connection
         self._descriptors, self._port, self._address = 100, 32768, 0
 
@@ -289,6 +343,39 @@
         self._listeners.setdefault(address, []).append(sock)
         return sock
 
+    def datagram(self, address: Address) -> SimDatagram:
+        """A UDP socket that is bound to an address."""
+        owner = LIFE.get()
+        if owner is not None and not owner.alive:
+            raise Killed
+        self.room_for(owner)
+        if address in self._bound:
+            raise failure(errno.EADDRINUSE)
+        sock = self._bound[address] = SimDatagram(self, owner, address)
+        return sock
+
+    def unbind(self, sock: SimDatagram) -> None:
+        """Nobody gets what is sent there."""
+        self._bound.pop(sock.here, None)
+
+    def cast(self, sock: SimDatagram, data: bytes, address: Address) -> None:
+        """A datagram goes to an address; a cut way loses it, as nobody sends it again."""
+        faults, link = self.faults, self.links()
+        for _ in range(1 + (self.rng.random() < faults.doubled)):
+            if self.rng.random() < faults.loss:
+                continue
+            at_s = self._later(link, len(data)) + self.rng.random() * faults.late_s
+            self.loop.at(at_s, lambda: self._cast(sock.place, sock.here, data, address))
+
+    def _cast(self, place: str, source: Address, data: bytes, address: Address) -> None:
+        target = self._bound.get(address)
+        if target is None:
+            return
+        ways = {(place, ""), ("", target.place), (place, target.place)}
+        if not ways & self.weather.cut.keys() and len(target.queue) < MOST_QUEUED:
+            target.queue.append((data, source))
+            target.touched()
+
     def unlisten(self, sock: SimSocket) -> None:
         """It listens no more; as in Linux, the last of a group takes its place in it."""
         there = self._listeners.get(sock.here, [])
--- a/mallowlug/rig/sim/process.py
+++ b/mallowlug/rig/sim/process.py
@@ -90,6 +90,10 @@
         life.calls_to_listen = life.calls
         return cast(socket.socket, self._net.listener(address, shared))
 
+    def datagram(self, address: tuple[str, int]) -> socket.socket:
+        """A simulated UDP socket."""
+        return cast(socket.socket, self._net.datagram(address))
+
     def steer(self, sock: socket.socket) -> bool:
         """New connections come to the later one of two sockets."""
         self._net.steer(cast(SimSocket, sock))
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -108,6 +108,7 @@
     back_s: float = Field(default=0.6, ge=0)  # from a process's end to its next start
     durable: bool = False  # their journals outlast the loss of power
     console: bool = False  # they have consoles, and can be upgraded; simulated relays alone
+    fleet: bool = False  # they keep a view of each other; simulated relays alone
     staff: bool = False  # seeds let staff take hosts out and back
     reloads: bool = False  # seeds change the relays' file at every stage of an upgrade
     awake: int = Field(default=1024, ge=1)  # destinations that stay awake; simulated relays alone
--- a/mallowlug/system.py
+++ b/mallowlug/system.py
@@ -84,6 +84,9 @@
         ``shared``: other processes may listen there too, if theirs are shared as well.
         """
 
+    def datagram(self, address: tuple[str, int]) -> socket.socket:
+        """A UDP socket that is bound and does not block; ``OSError`` where the address can't be had."""
+
     def steer(self, sock: socket.socket) -> bool:
         """Of two sockets that share an address, the one that listened later gets every new connection."""
 
@@ -198,6 +201,18 @@
         """A TCP socket that is bound and listens; ``OSError`` where the address can't be had."""
         return socket.create_server(address, family=family_of(address), reuse_port=shared)
 
+    @staticmethod
+    def datagram(address: tuple[str, int]) -> socket.socket:
+        """A UDP socket that is bound and does not block; ``OSError`` where the address can't be had."""
+        sock = socket.socket(family_of(address), socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
     @staticmethod
     def steer(sock: socket.socket) -> bool:
         """A filter for the sockets of one address that names the second; without one, any is drawn."""
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -25,6 +25,9 @@
     def figures(self) -> str:
         return "relay_current 0\n"
 
+    def members(self) -> str:
+        return ""
+
     def put_out(self, host: str) -> str:
         self.done.append(f"out {host}")
         return self.why
@@ -38,6 +41,7 @@
     ("method", "target", "status", "done"),
     [
         ("GET", "/ready", 200, []),
+        ("GET", "/fleet", 404, []),  # where no view is kept
         ("GET", "/metrics", 200, []),
         ("POST", "/hosts/disable?name=s-1", 200, ["out s-1"]),
         ("POST", "/hosts/enable?name=s%2d1", 200, ["back s-1"]),
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -124,11 +124,13 @@
     shown = [
         line.removeprefix("# ")
         for line in (ROOT / "deploy" / "operator.toml").read_text(encoding="utf-8").splitlines()
-        if line.startswith(("# [", "# level", "# kind", "# listen", "# connections", "# format", "# durable"))
+        if line.startswith("# [") or line.partition(" = ")[0].removeprefix("# ").isidentifier()
     ]
     path = tmp_path / "operator.toml"
     path.write_text("\n".join(shown), encoding="utf-8")
-    assert model.load(path).fronts == (FrontPlan("resp2", ("127.0.0.1", 7001), 64),)
+    found = model.load(path)
+    assert found.fronts == (FrontPlan("resp2", ("127.0.0.1", 7001), 64),)
+    assert found.fleet is not None and found.fleet.address == "127.0.0.1:7101" and len(found.fleet.seeds) == 2
 
 
 def test_the_run_line_imports_nothing_of_what_is_off() -> None:
