Judge of views over real processes; parts stay at the settings' group until so many were seen

The tests on processes asserted single ends alone. A group that was never seen whole stays as it was told now. python -m bench members measures the protocol in drawn time.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from bench import runs, tails
+from bench import members, runs, tails
 from mallowlug.rig.world import scenario
 
 PLACES = (  # by part of a file's path: the stage that its time counts for
@@ -282,5 +282,22 @@
            for (path, line, name), v in best])  # fmt: skip
 
 
+@group.command("members")
+@click.option("--sizes", default="10,50,200", show_default=True, help="Relays, one row for each size.")
+@click.option("--seeds", default=5, show_default=True, help="Fleets of each size.")
+@click.option("--jobs", default=2, show_default=True, help="Processes side by side.")
+@out_option
+def member_views(sizes: str, seeds: int, jobs: int, out: Path | None) -> None:
+    """The view of the fleet in drawn time: how soon it settles, sees a crash, heals; what it costs."""
+    wanted = [int(size) for size in sizes.split(",")]
+    found = members.measured(wanted, range(1, seeds + 1), jobs)
+    rows = []
+    for name in members.NAMES:
+        each = [[float(getattr(one, name)) for one in found if one.size == size] for size in wanted]
+        rows.append([name, *map(spread, each)])
+    shown(f"views of the fleet, {seeds} seeds: median (least to most)", ["", *map(str, wanted)], rows)
+    kept(out, [asdict(one) for one in found])
+
+
 if __name__ == "__main__":
     group()
--- a/mallowlug/fleet/parts.py
+++ b/mallowlug/fleet/parts.py
@@ -22,7 +22,8 @@
     """One relay's reckoning.
 
     ``settle_us``: how long a death is held by a majority before it counts. ``told``: the group that the
-    settings name, which counts until a majority of it has been seen: one that has just started knows nobody.
+    settings name, which counts until so many have been seen: one that has just started knows nobody, and who
+    was not seen yet may be there.
     """
 
     settle_us: int
@@ -53,7 +54,7 @@
         self.settled |= here
         self.largest = max(self.largest, len(self.settled))
         majority = agree(self.settled)
-        self.met |= 2 * majority > max(self.told, len(self.settled))
+        self.met |= len(self.settled) >= self.told
         missing = self.counted - here
         self._agreed = {relay: at for relay, at in self._agreed.items() if relay in missing}
         if missing and 2 * majority > len(self.settled):
--- a/mallowlug/fleet/swim.py
+++ b/mallowlug/fleet/swim.py
@@ -263,9 +263,6 @@
                 self._hold(now_us, msgspec.structs.replace(held, state="dead", by=self.me.relay), "probe")
         if now_us >= self._heal_us:
             self._heal(now_us)
-        self.view.forget(now_us - self.times.remember_us)
-        for relay in [relay for relay in self.heard if relay not in self.view.members]:
-            del self.heard[relay]
         ends = [suspicion.end_us for suspicion in self._suspects.values()]
         probe = [self._probe.ask_us if not self._probe.asked else self._probe.end_us] if self._probe else []
         helps = [until_us for _, _, until_us in self._helping.values()]
@@ -343,6 +340,9 @@
     def _heal(self, now_us: int) -> None:
         """Somebody who is gone, or a seed, is asked now and then: so a cut heals however long it was."""
         self._heal_us = now_us + int(self.times.heal_us * self._rng.uniform(0.7, 1.3))
+        self.view.forget(now_us - self.times.remember_us)
+        for relay in [relay for relay in self.heard if relay not in self.view.members]:
+            del self.heard[relay]
         here = {self.view.members[relay].said.address for relay in self.view.here()}
         gone = [
             member.said.address for relay, member in self.view.members.items()
--- a/mallowlug/fleet/view.py
+++ b/mallowlug/fleet/view.py
@@ -61,6 +61,7 @@
     def __init__(self, me: Rumour, now_us: int) -> None:
         self.me = me.relay
         self.members: dict[str, Member] = {}
+        self._here: list[str] | None = None  # found once between two changes: it is asked for at every probe
         self.digest = 0  # equal where views are equal, whatever the order in which they came about
         self._put(Member(me, now_us, "own"))
 
@@ -70,6 +71,7 @@
             self.digest ^= mark_of(former.said)
         self.digest ^= mark_of(member.said)
         self.members[member.said.relay] = member
+        self._here = None
 
     @property
     def own(self) -> Rumour:
@@ -78,7 +80,9 @@
 
     def here(self) -> list[str]:
         """The ids of all who count as there, this relay with them."""
-        return [relay for relay, member in self.members.items() if member.here]
+        if self._here is None:
+            self._here = [relay for relay, member in self.members.items() if member.here]
+        return self._here
 
     def gone(self) -> list[str]:
         """Those who are remembered as dead or left."""
--- a/mallowlug/rig/judge/record.py
+++ b/mallowlug/rig/judge/record.py
@@ -247,6 +247,23 @@
     late_us: int
 
 
+class Way(Event, frozen=True, tag="way"):
+    """Whether datagrams from one relay to another pass as they should."""
+
+    one: str
+    other: str
+    clear: bool
+
+
+class Held(Event, frozen=True, tag="held"):
+    """The view that a relay was seen to hold: by member its life and state, and the group of its parts."""
+
+    relay: str
+    digest: str
+    group: int
+    members: dict[str, tuple[int, str]]
+
+
 class Rude(Event, frozen=True, tag="rude"):
     """How a client that sends nonsense fared: an error, a close, or neither in time."""
 
@@ -274,7 +291,7 @@
 
 AnyEvent = (
     Head | Host | Life | Process | Hand | Ask | Said | Dial | Call | Ran | Answer | Gone | Left | Notice
-    | Listed | Told | Watch | Reach | Link | Rude | Mark | End
+    | Listed | Told | Watch | Reach | Link | Way | Held | Rude | Mark | End
 )  # fmt: skip
 ENCODER = msgspec.json.Encoder()
 DECODER = msgspec.json.Decoder(AnyEvent)
--- a/mallowlug/rig/world/fronts.py
+++ b/mallowlug/rig/world/fronts.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
@@ -61,6 +62,7 @@
         self._who: dict[Address, str] = {}  # by the address a relay sends from
         self._ways: dict[tuple[str, str], Way] = {}
         self._free_s: dict[tuple[str, str], float] = {}
+        self.told: Callable[[str, str, bool], None] = lambda _one, _other, _clear: None  # of every change
         self.carried, self.dropped = Counter[tuple[str, str]](), Counter[tuple[str, str]]()
 
     async def add(self, relay: str, listen: Address, host: str = "127.0.0.1") -> Address:
@@ -73,9 +75,9 @@
 
     def way(self, one: str, other: str, way: Way, both: bool = True) -> None:
         """From now on one relay's datagrams to another go so; with ``both`` the other's to it too."""
-        self._ways[one, other] = way
-        if both:
-            self._ways[other, one] = way
+        for pair in ((one, other), (other, one)) if both else ((one, other),):
+            self._ways[pair] = way
+            self.told(*pair, way == CLEAR)
 
     def apart(self, *groups: list[str]) -> None:
         """Nothing passes between these groups."""
@@ -87,6 +89,8 @@
 
     def heal(self) -> None:
         """All ways are clear."""
+        for pair in list(self._ways):
+            self.told(*pair, True)
         self._ways.clear()
 
     def carry(self, front: Front, source: Address, data: bytes) -> None:
--- a/tests/members/ground.py
+++ b/tests/members/ground.py
@@ -12,11 +12,13 @@
 from pathlib import Path
 from typing import Any
 
+from mallowlug.rig.judge import record as rec
 from mallowlug.rig.world.fronts import Fronts
 from tests.world import ROOT, called, free_port, settings_json, soon
 
 PERIOD_S = 0.1  # between two probes: a tenth of what the operator file has
 SETTLE_S = 0.5
+LOOK_S = 0.1  # between two looks at all views
 
 
 def udp_port() -> int:
@@ -34,6 +36,8 @@
         self.state.mkdir(parents=True)
         self.console, self.port, self.listen = free_port(), free_port(), ("127.0.0.1", udp_port())
         self.process: asyncio.subprocess.Process | None = None
+        self.still = False  # stopped by a signal
+        self.ended: Callable[[Node], None] = lambda _node: None
 
     @property
     def alive(self) -> bool:
@@ -43,11 +47,16 @@
     def signal(self, number: int) -> None:
         """Signal its process."""
         assert self.process is not None
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.still = number == signal.SIGSTOP
+        elif self.alive:
+            self.ended(self)
         self.process.send_signal(number)
 
     async def kill(self) -> None:
         """SIGKILL."""
         if self.process is not None and self.alive:
+            self.ended(self)
             self.process.kill()
             await self.process.wait()
 
@@ -67,6 +76,9 @@
         self.folder, self.fronts = folder, Fronts(seed)
         self.nodes: dict[str, Node] = {}
         self.seeds: list[str] = []
+        self.record: list[rec.AnyEvent] = []
+        self.fronts.told = self.way
+        self._looking: asyncio.Task[None] | None = None
 
     async def add(self, name: str, *, seed: bool = False, **fleet: Any) -> Node:
         """A relay with its front, started."""
@@ -96,6 +108,10 @@
 
     async def start(self, node: Node) -> None:
         """Its next life."""
+        if self._looking is None:
+            self._looking = asyncio.get_running_loop().create_task(self._look())
+        node.ended = self.died
+        self._note(rec.Process(rec.now_us(), node.name, "start", ""))
         told = {"ROUTER_CONFIG": str(node.folder / "config.json"), "ROUTER_STATE": str(node.state)}
         with (node.folder / "log").open("ab") as log:
             node.process = await asyncio.create_subprocess_exec(
@@ -131,8 +147,30 @@
             if node.alive:
                 node.signal(signal.SIGCONT)
                 await node.kill()
+        if self._looking is not None:
+            self._looking.cancel()
         self.fronts.close()
 
+    def _note(self, event: rec.AnyEvent) -> None:
+        self.record.append(event)
+
+    def died(self, node: Node) -> None:
+        """A process has ended, or ends now."""
+        self._note(rec.Process(rec.now_us(), node.name, "exit", ""))
+
+    def way(self, one: str, other: str, clear: bool) -> None:
+        """A way is disturbed, or as it should be again."""
+        self._note(rec.Way(rec.now_us(), one, other, clear))
+
+    async def _look(self) -> None:
+        """Write down what each relay holds, again and again, for the judge."""
+        while True:
+            for name, node in list(self.nodes.items()):
+                if node.alive and not node.still and (table := await node.table()) and node.alive:
+                    rows = {other: (row["life"], row["state"]) for other, row in table["members"].items()}
+                    self._note(rec.Held(rec.now_us(), name, table["digest"], table["group"], rows))
+            await asyncio.sleep(LOOK_S)
+
 
 def alive(table: dict[str, Any]) -> set[str]:
     """Who is held alive."""
--- a/tests/members/test_parts.py
+++ b/tests/members/test_parts.py
@@ -82,7 +82,9 @@
 def test_one_that_has_met_nobody_takes_what_the_settings_tell() -> None:
     parts = Parts(SETTLE, told=40)
     assert parts.update(0, {"a": "alive"}, lambda _group: 1) == 40
-    assert parts.update(100, {"a": "alive", "b": "alive"}, lambda _group: 2) == 40
+    some = {f"r{at}": "alive" for at in range(39)}
+    assert parts.update(100, some, lambda _group: 39) == 40  # the last one may be there too
+    assert parts.update(200, some | {"last": "alive", "more": "alive"}, lambda _group: 41) == 41
 
 
 def test_parts_that_grow_in_a_cut_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -15,6 +15,8 @@
 
 import pytest_asyncio
 
+from mallowlug.rig.judge import record as rec
+from mallowlug.rig.judge.members import judged
 from mallowlug.rig.world.fronts import Way
 from tests.members.ground import Ground, agreed, alive
 from tests.world import ROOT, called, soon
@@ -28,6 +30,8 @@
     ground = Ground(tmp_path)
     yield ground
     await ground.stop()
+    assert judged(ground.record) == []
+    assert sum(isinstance(event, rec.Held) for event in ground.record) > 0
 
 
 async def five(ground: Ground) -> None:
--- a/tests/members/test_protocol.py
+++ b/tests/members/test_protocol.py
@@ -16,7 +16,7 @@
 from mallowlug.fleet.records import Frame, Rumour
 from mallowlug.fleet.swim import Swim, Times
 from mallowlug.fleet.view import View
-from tests.members.net import SECOND, Link, Net
+from mallowlug.rig.sim.members import SECOND, Link, Net
 
 
 def settled(size: int, seed: int = 1, **plain: Any) -> Net:
