One reader of host:port, one chain of retries, no arguments or state that nothing reads

Need: a reading of the whole change. fleet/agent.py had config.address_of's lines once more; each reload began a chain of retries of its own while the disk was full (compose.Node._put_aside); swim passed three arguments that nothing read; the drawn-time net kept times that nobody asked for; the tests had two finders of a free port. Change: core/model.pair_of serves both; one timer; the rest is gone.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -109,6 +109,7 @@
         self._fronts: list[Server] = []
         self._core: Intake | None = None  # what the fronts talk to
         self._shift: Shift | None = None
+        self._owing: asyncio.TimerHandle | None = None  # the next attempt to keep what a reload put aside
         self._fleet: Agent | None = None
         self._size = 0  # of the group, as it was counted; 0: as the settings tell
 
@@ -314,8 +315,11 @@
 
     def _put_aside(self) -> None:
         """Tell later lives that the variable counts no more, again until the disk takes it."""
+        if self._owing is not None:  # one chain of attempts, however many reloads ask for it
+            self._owing.cancel()
+        self._owing = None
         if (variable := self._cfg.aside) and not config.put_aside(self._system, variable):
-            self._loop.call_later(OWED_S, self._put_aside)
+            self._owing = self._loop.call_later(OWED_S, self._put_aside)
 
     def binds(self) -> Binds:
         """What binds a successor beside the journal: what the core knows, and what is in force here."""
--- a/mallowlug/config.py
+++ b/mallowlug/config.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from mallowlug.core.model import Address, HostList
+from mallowlug.core.model import Address, HostList, pair_of
 from mallowlug.directory.discovery import read_list
 from mallowlug.system import Disk, System, save
 from mossfront.interface import Settings
@@ -84,11 +84,11 @@
 
 
 def address_of(text: str) -> Address:
-    """``host:port`` as the pair that sockets take."""
-    host, sign, port = text.rpartition(":")
-    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"not an address: {text!r}")
-    return host, int(port)
+    """``host:port`` as the pair that sockets take; ``ConfigError`` where it is none."""
+    try:
+        return pair_of(text)
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
 
 
 def flatten(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
--- a/mallowlug/core/model.py
+++ b/mallowlug/core/model.py
@@ -9,6 +9,15 @@
 Address = tuple[str, int]
 
 
+def pair_of(text: str) -> Address:
+    """``host:port`` as the pair that sockets take; ``ValueError`` where it is none."""
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+
 @dataclass(frozen=True, slots=True)
 class Handed:
     """A message as a client hands it in; ``deadline_us`` is wall time."""
--- a/mallowlug/fleet/agent.py
+++ b/mallowlug/fleet/agent.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from mallowlug.core.model import Address
+from mallowlug.core.model import Address, pair_of
 from mallowlug.fleet import records as rec
 from mallowlug.fleet.parts import Parts
 from mallowlug.fleet.records import Rumour
@@ -55,14 +55,6 @@
     return last + 1
 
 
-def pair_of(address: str) -> Address:
-    """``host:port`` as sockets take it; ``ValueError`` where it is none."""
-    host, sign, port = address.rpartition(":")
-    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"not an address: {address!r}")
-    return host, int(port)
-
-
 class Agent(asyncio.DatagramProtocol):
     """Keeps the view for as long as this process owns the relay's messages."""
 
--- a/mallowlug/fleet/records.py
+++ b/mallowlug/fleet/records.py
@@ -15,7 +15,7 @@
 MOST_BYTES = 1400  # of a datagram: within an Ethernet frame behind any usual tunnel
 MOST_RUMOURS = 12  # in a frame beside what it is about
 MOST_ROWS, PAGE_BYTES = 16, 1000  # members on one page of a table, and their bytes
-MOST_PAGES = 128  # of a table: 1,536 members
+MOST_PAGES = 128  # of a table
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Text = Annotated[str, msgspec.Meta(max_length=64)]
--- a/mallowlug/fleet/swim.py
+++ b/mallowlug/fleet/swim.py
@@ -106,17 +106,17 @@
     def receive(self, now_us: int, frame: Frame) -> None:
         """Take a frame in; one from this relay's own id is another process's, or an echo."""
         if frame.sender == self.me.relay:
-            self._namesake(now_us, frame)
+            self._namesake(frame)
             return
         self.heard[frame.sender] = frame.digest, now_us
         for said in frame.rumours:
-            self._hear(now_us, said, "rumour", frame.sender)
+            self._hear(now_us, said, "rumour")
         body = frame.body
         match body:
             case rec.Ping():
                 self._pinged(now_us, frame, body)
             case rec.Ack():
-                self._acked(now_us, frame, body)
+                self._acked(frame, body)
             case rec.Ask():
                 self._asked(now_us, frame, body)
             case rec.Nack():
@@ -124,7 +124,7 @@
                     self._probe.nacks += 1
             case rec.Page():
                 for said in body.rows:
-                    self._hear(now_us, said, "table", frame.sender)
+                    self._hear(now_us, said, "table")
                 if body.wanted:
                     self._send_table(now_us, frame.address, False)
             case rec.Clash():
@@ -132,7 +132,7 @@
                     self.clash = body
         self._compare(now_us, frame)
 
-    def _namesake(self, now_us: int, frame: Frame) -> None:
+    def _namesake(self, frame: Frame) -> None:
         if frame.mark != self.me.mark and frame.address != self.me.address:
             self.clash = rec.Clash(frame.sender, frame.mark, frame.address)
 
@@ -144,7 +144,7 @@
         if unknown and now_us >= self._table_us:  # its table says who it is, and ours what it missed
             self._send_table(now_us, frame.address, True)
 
-    def _acked(self, now_us: int, frame: Frame, ack: rec.Ack) -> None:
+    def _acked(self, frame: Frame, ack: rec.Ack) -> None:
         probe = self._probe
         if probe is not None and ack.number == probe.number and ack.relay == probe.relay:
             self._probe = None
@@ -164,7 +164,7 @@
             self._helping[number] = frame.address, ask.number, now_us + self.times.answer_us
             self._send(ask.address, rec.Ping(number, ask.relay))
 
-    def _hear(self, now_us: int, said: Rumour, path: str, sender: str) -> None:
+    def _hear(self, now_us: int, said: Rumour, path: str) -> None:
         """One rumour: about this relay it may have to be answered, about others it may be news."""
         if said.relay == self.me.relay:
             self._about_me(now_us, said)
--- a/mallowlug/rig/sim/members.py
+++ b/mallowlug/rig/sim/members.py
@@ -46,7 +46,6 @@
         self.still: dict[str, int] = {}  # by address: it does nothing until then
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._serial = count()
-        self._wakes: dict[str, int] = {}
 
     def start(self, relay: str, *, life: int = 1, seeds: Iterable[str] = (), address: str = "") -> Swim:
         """A process of a relay; an older one at its address is gone."""
@@ -114,7 +113,6 @@
             return
         due_us = side.tick(self.now_us)
         self._flush(address, side)
-        self._wakes[address] = due_us
         self.after(due_us - self.now_us, lambda: self._wake(address, side))
 
     def _flush(self, address: str, side: Swim) -> None:
--- a/tests/members/ground.py
+++ b/tests/members/ground.py
@@ -21,20 +21,14 @@
 LOOK_S = 0.1  # between two looks at all views
 
 
-def udp_port() -> int:
-    """A port for datagrams that nobody has now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class Node:
     """One relay over its lives."""
 
     def __init__(self, name: str, folder: Path) -> None:
         self.name, self.folder, self.state = name, folder, folder / "state"
         self.state.mkdir(parents=True)
-        self.console, self.port, self.listen = free_port(), free_port(), ("127.0.0.1", udp_port())
+        self.console, self.port = free_port(), free_port()
+        self.listen = "127.0.0.1", free_port(socket.SOCK_DGRAM)
         self.process: asyncio.subprocess.Process | None = None
         self.still = False  # stopped by a signal
         self.ended: Callable[[Node], None] = lambda _node: None
--- a/tests/world.py
+++ b/tests/world.py
@@ -302,9 +302,9 @@
     return b"ENQUEUE", b"0" * 16, ref.encode(), names.encode(), body
 
 
-def free_port() -> int:
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """A port of this machine's loopback that nobody has now."""
-    with socket.socket() as sock:
+    with socket.socket(type=kind) as sock:
         sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
 
