Doors: the owner's tidying leaves alone what a living door has just begun

The new owner's Adoption.tidy removed new.door.* that a living door had locked and was about to rename. Change: tidy takes a file's lock before it removes it; a door tries up to three names for a file.

--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -10,7 +10,7 @@
 
 import logging
 from dataclasses import dataclass
-from itertools import count
+from itertools import count, islice
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +24,7 @@
 
 LOG = logging.getLogger(__name__)
 PREFIX, NEW = "door.", "new."
+NAMES = 3  # that a door tries for a file
 MOST_FILE, MOST_FILES = 32 * 1024, 3  # bytes of one file before the next is begun; files that are not adopted
 
 
@@ -85,11 +86,14 @@
         self.close()
         # A burst fills a file within the clock's step, and another door may stand beside: no name twice.
         names = (f"{PREFIX}{self.clock()}.{at:04}" for at in count())
-        self._name = name = next(name for name in names if name not in (*there, self._name))
-        path, new = self._folder / name, self._folder / f"{NEW}{name}"
-        lock = Lock(new, self._disk)
-        if not lock.take():
+        for name in islice((name for name in names if name not in (*there, self._name)), NAMES):
+            path, new = self._folder / name, self._folder / f"{NEW}{name}"
+            lock = Lock(new, self._disk)
+            if lock.take():
+                break
+        else:  # the owner's tidying may hold one for a moment, hardly the next one too
             return False
+        self._name = name
         # Locked before it has its name: else the owner might find it free, take it for left, and remove it.
         self._disk.replace(new, path)
         if self._durable:
@@ -135,10 +139,12 @@
         self._folder, self._disk, self._durable = folder, disk, durable
 
     def tidy(self) -> None:  # raises ``OSError``: a start that cannot read its folder has no use
-        """Remove what a door had begun when it was killed; one that lives finds out, and refuses."""
+        """Remove what a door had begun when it was killed; what one that lives has locked stays."""
         for name in self._disk.names(self._folder):
-            if name.startswith(NEW):
+            lock = Lock(self._folder / name, self._disk)
+            if name.startswith(NEW) and lock.take():
                 self._disk.unlink(self._folder / name)
+                lock.free()
 
     def look(self, driver: Driver) -> bool:
         """Adopt what is there now; whether any file was there, or nobody can tell."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,7 @@
 from mallowlug.core.binds import Binds
 from mallowlug.system import POSIX, PosixDisk
 from mallowlug.upgrade import binds as told
-from mallowlug.upgrade.locks import Succession
+from mallowlug.upgrade.locks import Lock, Succession
 from mallowlug.upgrade.spool import Adoption
 from tests.world import ROOT, Client, World, called, delivered, free_port, silent, soon
 
@@ -400,6 +400,17 @@
     assert first.take_back()
 
 
+def test_what_a_living_door_has_begun_is_not_tidied_away(tmp_path: Path) -> None:
+    """The door was told that its file is gone, and refused a message, once in some runs."""
+    living, dead = tmp_path / "new.door.1", tmp_path / "new.door.2"
+    lock = Lock(living, POSIX.disk)
+    assert lock.take()
+    dead.touch()
+    Adoption(tmp_path, POSIX.disk).tidy()
+    assert living.exists() and not dead.exists()
+    lock.free()
+
+
 class Unreadable(PosixDisk):
     """A machine without descriptors."""
 
