Times of messages count from when they were read: calls outlasted them, and were lost

Cause: Driver._resume and _take_on reckon the time left, the module adds it to the time of its later step (state.Message); Hosts.send counts limit_us from when it is called, not from the step that decided it. The age of a try and the window of its key had the same gap. Change: Arrival.at_us says when its times were reckoned; a call's times count from its step (Call.sent_s); an answer read within the protocol's slack of 50 ms of a message's end, or behind it, is followed by a notice.

--- a/mallowlug/core/model.py
+++ b/mallowlug/core/model.py
@@ -72,7 +72,7 @@
 
 @dataclass(slots=True, eq=False)
 class Part:
-    """One message's attempt within a call; ``limit_us`` is how long it may take from now.
+    """One message's attempt within a call; ``limit_us`` is how long it may take from the call's ``sent_s``.
 
     ``by_us``: only within so long may its first byte go out, as a repeat is dropped no longer (0: any time).
     """
@@ -88,7 +88,11 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """One call: an endpoint and the parts that travel together; ``sent_s`` is the loop's time."""
+    """One call: an endpoint and the parts that travel together.
+
+    ``sent_s``: the loop's time at which it was decided. Its limits count from there: the decision and the
+    journal take time, by which a call would outlast its messages' deadlines and windows.
+    """
 
     host: str
     parts: list[Part]
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -42,6 +42,7 @@
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
 REMEMBERED_ON = 512  # of them told to a successor
 REMEMBERED = 4096  # ids that are over, so that a request that a client repeats is not taken for a new one
+NEAR_US = 50_000  # us: the protocol's slack; so near its end an answer may have come behind a message's time
 UNKNOWN_US = 1 << 60  # us: an attempt so old that no window covers it
 DROPPED_S = 2.0  # s in which a class that is dropped is still taken on, by its rules
 FIELDS = [field.name for field in fields(Handed)]
@@ -97,6 +98,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._wake: asyncio.TimerHandle | None = None  # the last that was asked for; the module asks again
         self._next_s = 0.0  # when the next step is allowed
+        self._stepped_s = 0.0  # the loop's time of the present step, from which its times count
         self._stop_s: float | None = None  # once shutting down: when the last call must have ended
         self._classes = {cls.name: cls for cls in settings.classes}
         journal.most = settings.max_attempts
@@ -370,7 +372,9 @@
 
     def _arrival(self, handed: Handed, now_us: int, **former: Any) -> api.Arrival:
         left_us = handed.deadline_us - now_us
-        return api.Arrival(handed.id, handed.dest, handed.cls, left_us, handed.tenant, handed.order, **former)
+        return api.Arrival(
+            handed.id, handed.dest, handed.cls, left_us, handed.tenant, handed.order, at_us=now_us, **former
+        )
 
     def _resume(self, message: Recovered, now_us: int) -> None:
         """Give a message of the last life back to the module, or send its notice once more.
@@ -469,13 +473,23 @@
         self._post(api.Released(part.id, part.attempt))
 
     def _end(self, ref: str, delivered: bool) -> None:
-        """Nothing more is owed, unless that was so before."""
+        """Nothing more is owed, unless that was so before, or nobody knows whether it came in time.
+
+        A message's time counts from when its client sent it, here from when it was read; an answer counts
+        from when it was written. One that was written behind the time delivers nothing, and the end is owed
+        still; a notice for what is over does no harm.
+        """
         if (held := self._held.pop(ref, None)) is None:
             return
-        if delivered:
-            self._figures.ended(held.handed.cls, "answered")
-        self._journal.over(ref)
         self._remember(ref)
+        left_us = held.handed.deadline_us - self.clock()
+        if delivered:
+            self._figures.ended(held.handed.cls, "answered" if left_us >= 0 else "errored")
+        if delivered and left_us < NEAR_US:
+            self._journal.end(ref, "dead", 0)
+            self._ends.send(Notice(ref, "dead"))
+        else:
+            self._journal.over(ref)
 
     def _remember(self, ref: str) -> None:
         self._over[ref] = None
@@ -496,7 +510,8 @@
         loop = asyncio.get_running_loop()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer, self._next_s = None, loop.time() + self._set.round_us / 1e6
+        self._stepped_s = loop.time()
+        self._timer, self._next_s = None, self._stepped_s + self._set.round_us / 1e6
         events, self._inbox = self._inbox, []
         try:
             self._carry_out(self._module.step(self.clock(), events))
@@ -594,7 +609,9 @@
         """Sends of one step to one host share calls up to the kind's bound, journaled before any byte."""
         rest = iter(batch)
         while chunk := list(islice(rest, self._partners.batch(host))):
-            chunk = [send for send in chunk if send.id in self._held and self._can_end(send)]
+            chunk = [send for send in chunk if send.id in self._held]
+            if self._stop_s is not None:
+                chunk = [send for send in chunk if self._can_end(send, self._stop_s)]
             parts, tries, now_us = [], [], self.clock()
             for send in chunk:
                 held = self._held[send.id]
@@ -603,7 +620,7 @@
                 tries.append((send.id, Attempt(number, host, self._partners.zone(host), now_us)))
             if not parts:
                 continue
-            call = Call(host, parts, self._now_s())
+            call = Call(host, parts, self._stepped_s)
             try:
                 self._journal.tries(tries)
             except JournalFullError as error:
@@ -612,7 +629,6 @@
                 continue
             yield call
 
-    def _can_end(self, send: api.Send) -> bool:
+    def _can_end(self, send: api.Send, stop_s: float) -> bool:
         """Whether the process lasts as long as the call may; else the journal keeps it for the next life."""
-        now_s = asyncio.get_running_loop().time()
-        return self._stop_s is None or now_s + send.limit_us / 1e6 <= self._stop_s
+        return self._stepped_s + send.limit_us / 1e6 <= stop_s
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -45,8 +45,7 @@
     connection: Connection | None = None
     task: asyncio.Task[None] | None = None
     sent: list[Part] = field(default_factory=list)  # what the request carries: parts may end before it
-    start_s: float = 0.0  # the loop's time at which it was begun
-    until_s: float = 0.0  # and at which it ends, for all of its parts
+    until_s: float = 0.0  # the loop's time at which it ends, for all of its parts
     timer: asyncio.TimerHandle | None = None
     timers: dict[Part, asyncio.TimerHandle] = field(default_factory=dict)  # of parts that end before
     late: bool = False  # it was ended by its time
@@ -245,10 +244,10 @@
         """
         loop, exchange = asyncio.get_running_loop(), Exchange(call)
         self.exchanges[exchange] = None
-        start_s, most_us = loop.time(), 0
+        start_s, most_us = call.sent_s, 0
         for part in call.parts:
             most_us = max(most_us, part.limit_us)
-        exchange.start_s, exchange.until_s = start_s, start_s + most_us / 1e6
+        exchange.until_s = start_s + most_us / 1e6
         exchange.timer = loop.call_at(exchange.until_s, self._time_out, exchange)
         for part in call.parts:
             if part.limit_us < most_us:
@@ -363,7 +362,7 @@
                 self._settle(exchange, part, barred)
             return self._keep(host, connection)
         for part in list(parts):  # its window may have passed as well
-            if part.by_us and self._now_s() > exchange.start_s + part.by_us / 1e6:
+            if part.by_us and self._now_s() > exchange.call.sent_s + part.by_us / 1e6:
                 self._settle(exchange, part, Told(Verdict.NOT_SENT))
                 parts.remove(part)
         if not parts:
--- a/mallowlug/rig/sim/guards.py
+++ b/mallowlug/rig/sim/guards.py
@@ -111,10 +111,11 @@
         cls = event.rules.cls if event.rules is not None else self._classes.get(event.cls)
         if cls is None or event.id in self._messages:
             return
-        risky_us = now_us - event.risky_age_us if event.risky_age_us >= 0 else -1
+        reckoned_us = now_us if event.at_us < 0 else event.at_us
+        risky_us = reckoned_us - event.risky_age_us if event.risky_age_us >= 0 else -1
         key = event.key if cls.in_order else ""
         self._messages[event.id] = Watched(
-            cls, now_us + event.left_us, key, event.attempts, risky_us, event.risky_zone
+            cls, reckoned_us + event.left_us, key, event.attempts, risky_us, event.risky_zone
         )
         if key:
             self._lines.setdefault(key, []).append(event.id)
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -187,9 +187,10 @@
 class Arrival:
     """A message taken in; it must get exactly one final answer within ``left_us``.
 
-    The last five fields speak of a former life of this relay: attempts made, how long ago and in which zone
-    the first of them was made that may have run (-1: none may), the rules that it was taken on under, and
-    whether it was found by a restart and never tried.
+    Its times count from ``at_us`` by the steps' clock: it may have waited for the step that takes it in, or
+    for a restart to read all that was left (-1: from that step on). The five fields before it speak of a
+    former life of this relay: attempts made, how long ago and in which zone the first of them was made that
+    may have run (-1: none may), the rules that it was taken on under, and whether a restart found it untried.
     """
 
     id: str
@@ -203,6 +204,7 @@
     risky_zone: str = ""
     rules: Rules | None = None  # those under which it was taken on, where they are not the present ones
     found: bool = False  # such a one goes before all else
+    at_us: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,7 +315,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call an endpoint with a message; ``by_us``: only within so long (0: any time), as its key is known."""
+    """Call an endpoint with a message, within ``limit_us`` of the step's time.
+
+    ``by_us``: only within so long (0: any time), as its key is known.
+    """
 
     id: str
     host: str
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -108,10 +108,10 @@
     """A message taken in and what is known of its attempts."""
 
     def __init__(self, event: Arrival, manner: Manner, now_us: int, worth: float) -> None:
-        cls = manner.rules.cls
+        cls, reckoned_us = manner.rules.cls, now_us if event.at_us < 0 else event.at_us
         self.id, self.dest, self.cls, self.worth = event.id, event.dest, cls, worth
         self.manner, self.most = manner, manner.rules.most
-        self.key, self.deadline_us = event.key if cls.in_order else "", now_us + event.left_us
+        self.key, self.deadline_us = event.key if cls.in_order else "", reckoned_us + event.left_us
         self.aim_us = self.deadline_us - cls.deadline_us + cls.aim_us
         self.out: dict[int, Call] = {}
         self.attempts, self.timeouts, self.done = event.attempts, 0, False
@@ -120,7 +120,7 @@
         self.lane: tuple[object, ...] = ()  # where it is held, if it may go
         self.risky_us, self.risky_zone = -1, ""  # first attempt that may have run: when sent, and its zone
         if event.risky_age_us >= 0:  # made in a former life of this relay
-            self.risky_us, self.risky_zone = max(0, now_us - event.risky_age_us), event.risky_zone
+            self.risky_us, self.risky_zone = max(0, reckoned_us - event.risky_age_us), event.risky_zone
 
 
 class Destination:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -187,8 +187,9 @@
     calls = Calls(host.port)
     gate = gated(calls)
     parts = [Part("k1", 1, "key", b"x", 60_000_000, by_us=100_000), Part("m2", 0, "", b"x", 60_000_000)]
-    exchange = calls.hosts.send(Call("h1", parts, 0.0))
-    while asyncio.get_running_loop().time() <= exchange.start_s + 0.1:
+    loop = asyncio.get_running_loop()
+    exchange = calls.hosts.send(Call("h1", parts, loop.time()))
+    while loop.time() <= exchange.call.sent_s + 0.1:
         await asyncio.sleep(0.01)
     gate.set()
     assert (await calls.outcome("k1")).verdict is Verdict.NOT_SENT
