--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(VENV)/bin/ruff check $(CODE)
 	$(VENV)/bin/lint-imports
 	$(VENV)/bin/mypy --strict $(CODE)
-	$(PY) -m pytest -q -n 4 --dist loadfile
+	$(PY) -m pytest -q -n 4 --dist loadfile -p tests.known_red --known-red KNOWN-RED.txt
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	python3 -m venv $(VENV)
