Asks of the directory are repeated in time for what counts as told after 6 s

Cause: brain._roster spread a first and a repeated ask over 0.1 s for each relay of the group, 22.5 s for 230, and the gap doubled behind failures; an ask may hang 3 s and a silent watch was found after 3 s. Ruled out: refusing to send until the list is heard of (outages of the directory of 6 to 24 s would stop all service). Change: from the beginning of one ask to the next at most two thirds of the 6 s, the rest is for its answer; larger groups ask at three to four quarters of that, which a directory that takes one call of each in 4 s bears. An ask and a silence end after 2.5 s (an answer takes at most 2 s, a line comes every 2 s). Not claimed: a directory that needs over 6 s for a call of each cannot tell all of them in time.

--- a/mallowlug/directory/discovery.py
+++ b/mallowlug/directory/discovery.py
@@ -16,8 +16,8 @@
 
 LOG = logging.getLogger(__name__)
 HOSTS = "/discovery/hosts"
-FIRST_S = 3.0  # s for the first line of a watch; a call that waits too long is ended by the other side
-QUIET_S = 3.0  # s of silence that break a watch: a cut network is silent, and an empty line is due every 2 s
+FIRST_S = 2.5  # s for the first line of a watch; a call that waits too long is ended by the other side
+QUIET_S = 2.5  # s of silence that break a watch: a cut network is silent, and an empty line is due every 2 s
 LINE_S = 3.0  # s from a list's first byte to its last: one without end tells nothing, as silence does
 SLICE = 500  # hosts of a line that are read before clients have their turn
 CUT = "truncated"  # in msgspec's word for what is no whole value yet
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -44,6 +44,7 @@
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 PROVED_PART = 2  # one in so many of the time in which a cold server falls: calls at once behind a proof
 ASK_GAP_US, ASK_EACH_US = 500_000, 100_000  # us before a failed ask is repeated, at first; for each relay
+LISTED_US = 6_000_000  # us after which a change counts as told, once the directory has it and can be reached
 FEW = 8  # relays: in a larger group no single one's calls press a destination, unless its part is large
 CARE_US, FURTHER = 30_000_000, 0.2  # us for which an outage is told to a later life; weight within a call
 NEVER_US = 1 << 62
@@ -76,8 +77,9 @@
         self.open, self.calls_out, self.wake_us, self.serial = 0, 0, -1, 0
         self.made = list[Call]()  # in this step, and not let out yet
         self._change(settings)
-        # Next ask; its gap.
+        # Next ask; its gap; when the last one was made; from one to the next, at most.
         self.ask_us, self.ask_gap_us = (0 if settings.must_ask else -1), self.ask_least_us
+        self.asked_us, self.ask_most_us = -LISTED_US, LISTED_US * 2 // 3
         self.forget_us = 0  # when to look next for what is gone
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
@@ -157,6 +159,7 @@
             self._let_go(number)
         if 0 <= self.ask_us <= now_us:  # a directory that only answers; an unanswered ask is made again
             self.actions.append(Subscribe())
+            self.asked_us = now_us
             self.ask_us = now_us + max(2_000_000, self.set.ask_within_us // 2)
         times = [heap[0][0] for heap in (self.due, self.ends) if heap] + [self.ask_us] * (self.ask_us >= 0)
         if times and (self.wake_us <= now_us or min(times) < self.wake_us):
@@ -169,6 +172,11 @@
         if event.kind is RosterKind.FAILED:
             if self.set.must_ask:
                 gap_us = self.ask_gap_us * self.rng.uniform(0.7, 1.3) + self.crowded_us * self.rng.random()
+                # It may be back this very moment, whatever has become of the call before: the next one begins
+                # within two thirds of the time in which a change counts as told, the rest is for its answer.
+                most_us = max(self.asked_us + self.ask_most_us - self.now, self.ask_most_us // 3)
+                if gap_us > most_us:
+                    gap_us = most_us * self.rng.uniform(0.75, 1.0)
                 self.ask_us = self.now + int(gap_us)
                 most_us = max(self.ask_least_us, self.set.ask_within_us // 4, 2 * self.crowded_us)
                 self.ask_gap_us = self.ask_least_us if self.set.pushed else min(2 * self.ask_gap_us, most_us)
@@ -176,7 +184,7 @@
         if event.kind in (RosterKind.CHANGES, RosterKind.WHOLE):
             self.ask_us, self.ask_gap_us = -1, self.ask_least_us
         elif self.ask_us == 0:  # the first list, perhaps an old one: many may have started just now
-            self.ask_us = self.now + int(self.crowded_us * self.rng.random())
+            self.ask_us = self.now + int(min(self.crowded_us, self.ask_most_us) * self.rng.random())
         named = {entry.host for entry in event.entries}
         whole = event.kind in (RosterKind.WHOLE, RosterKind.CACHED)
         for host, endpoint in self.endpoints.items() if whole else ():
