In a large group a first failure, and an error, pauses an endpoint: cold servers under the sum

Cause: in groups of more than eight (FEW) a relay's second try behind one failure went at once, and behind an error any number (_fail returned, _learn set the spacing back): with one message each, 20 to 230 relays are more than a cold server bears. Traced in drawn outages call by call (strikes 0 or 1, no cold return, spacing behind the present). Change: in such a group a first failure pauses the endpoint by this relay's part of what a cold server bears, for the time of a fall at most; an error by that part within the time to warm. Groups up to eight as before.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -504,6 +504,9 @@
             for guard in endpoint.guards:
                 guard.proved_us = self.now
                 guard.spaced_us = self.now - self.set.fall_us // PROVED_PART
+                if self.set.group_size > FEW:  # behind a proof a call of each is more than it bears
+                    gap_us = min(self._cold_gap_us(endpoint, guard), self.set.warm_within_us)
+                    guard.spaced_us += int(gap_us * self.rng.uniform(0.5, 1.5))
         if failed:
             guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
             guard.doubt = True
@@ -560,7 +563,7 @@
         """
         if not guard.doubt or self.now - guard.ok_us <= GAP_US:
             return False
-        if self._presses(endpoint, guard) or guard.strikes > 2:
+        if self._presses(endpoint, guard) or guard.strikes > (1 if guard.refused and not guard.rate else 2):
             return True
         return guard.strikes > 0 and self.trials[guard.refused].share(self.now) > OUTAGE_MARK
 
@@ -582,6 +585,10 @@
             cold = max(0.0, 1 - (self.now - guard.cold_us) / max(1, self.set.warm_within_us))
         return self.set.fall_multiple * (1 - (1 - self.set.cold_from) * cold) * self._part(endpoint, guard)
 
+    def _cold_gap_us(self, endpoint: Endpoint, guard: Guard) -> float:
+        """Time between this relay's calls to a server that is cold: its part of what that bears of all."""
+        return 1e6 / (self.set.fall_multiple * self.set.cold_from * self._part(endpoint, guard))
+
     def _fail(self, endpoint: Endpoint, guard: Guard, verdict: Verdict, sent_us: int) -> None:
         """A strike, and a pause before the next trial that grows with the outage's age."""
         refused, beside = verdict is Verdict.FULL, self.now - guard.ok_us < GAP_US
@@ -603,7 +610,8 @@
                 self._care(endpoint, CARE_US)
             if guard.strikes == 3:
                 self.actions.append(Log(f"{endpoint.host} failing: {verdict.value}, paced"))
-        if verdict is Verdict.ERROR:  # it answers: the next call may be served, and can be made at once
+        few = self.set.group_size <= FEW
+        if verdict is Verdict.ERROR and (few or beside):  # it answers: the next may be served, and at once
             return
         # While most trials fail, this is an outage, and the group's trials together have to fit what a cold
         # server bears: each relay pauses by its part. A refusal beside other failures is the outage's own.
@@ -611,8 +619,9 @@
         sore = any(g.cold_us >= 0 or (g.strikes and not g.refused) for g in endpoint.guards)
         again = guard.cold_us >= 0 or (guard.strikes > 1 and not beside)
         if again or self.trials[refused and not sore].share(self.now) > OUTAGE_MARK:
-            bears = self.set.fall_multiple * self.set.cold_from * self._part(endpoint, guard)
-            gap_us = max(gap_us, 1e6 / bears)
+            gap_us = max(gap_us, self._cold_gap_us(endpoint, guard))
+        elif not (few or beside):  # in a larger group a second try of each is more than that already
+            gap_us = max(gap_us, min(self._cold_gap_us(endpoint, guard), self.set.fall_us))
         start_us = max(self.now, guard.wait_us)
         if refused and guard.told_us > 0:
             # What a limit refuses uses it up too: all that come back at their waits' ends keep it used up. At
