Descriptors by role, counted in one place; calls out and idle connections keep to theirs

Need: idle clients may fill the descriptors while discovery is down, and the rest must still get theirs. Cause: clients were held to half, idle connections to a quarter, but calls out only to the settings' slots, and bursts of accepts to nothing: with slots over what is left a connect fails for want of a descriptor, as if refused. Change: core/descriptors.py sets aside what the process needs for itself, then clients, bursts, listeners, the console; calls get the rest: slots are held to it, and a new connection closes the idle one that is due first.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -12,6 +12,7 @@
 from mallowlug import config
 from mallowlug.core.binds import Binds
 from mallowlug.core.clock import clock_of
+from mallowlug.core.descriptors import Shares, shares_of
 from mallowlug.core.desk import Desk
 from mallowlug.core.figures import Figures
 from mallowlug.core.journal import Journal
@@ -38,7 +39,6 @@
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
 SHUT_S = 0.3  # s after SIGTERM when a process that has a successor stops listening: its queue is empty then
 STAFF_BYTES = 192 * 1024  # of the lasting folder, where there is a console: staff's calls, upgrades
-CALLERS = 16  # one descriptor in so many is for the console's callers
 LEAST_ANSWER_S = 0.05  # s for an agent's answer, where a drain has no grace: the slack of the rules
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
@@ -46,25 +46,37 @@
 
 def fronts_of(cfg: config.Config, extras: config.Extras, core: Intake, system: System) -> list[Server]:
     """The platform's front, then the operator's; all share one half of the descriptors."""
-    left = cfg.sockets // 2 - sum(plan.connections for plan in extras.fronts)
+    shares = shares_in(cfg, extras)
+    left = shares.clients - sum(plan.connections for plan in extras.fronts)
     if left < cfg.sockets // 4:
         raise config.ConfigError(f"front: at most {cfg.sockets // 4} connections beside the platform's")
     plans = [(cfg.listen, left), *((plan.listen, plan.connections) for plan in extras.fronts)]
     shared = cfg.console is not None  # by it staff learn when a process that starts beside this one is ready
-    return [Server(core, address, most, system, shared) for address, most in plans]
+    burst = max(1, shares.burst // len(plans))
+    return [Server(core, address, most, system, shared, burst=burst) for address, most in plans]
 
 
-def plugs_of(cfg: config.Config, seq: int, system: System) -> Plugs:
+def shares_in(cfg: config.Config, extras: config.Extras) -> Shares:
+    """Who may hold how many descriptors."""
+    listeners = 1 + len(extras.fronts) + (extras.fleet is not None)
+    shares = shares_of(cfg.sockets, listeners, cfg.console is not None)
+    if shares.total > cfg.sockets:
+        LOG.warning("limits.sockets: %d descriptors are too few to keep the roles apart", cfg.sockets)
+    return shares
+
+
+def plugs_of(cfg: config.Config, seq: int, system: System, calls: int) -> Plugs:
     """The platform's adapters, bound to what the configuration tells."""
     return Plugs(
         partners=lambda settled, released: Hosts(
             cfg.settings.kinds,
             cfg.settings.keepalive_us,
             cfg.connect_timeout_us,
-            cfg.sockets // 4,
+            min(cfg.sockets // 4, calls),
             settled=settled,
             released=released,
             system=system,
+            most_open=calls,
         ),
         directory=lambda told, failed: Watch(
             cfg.discovery, seq, told, failed, system, most_line=cfg.memory_bytes // 8, answer_s=answer_s(cfg)
@@ -122,6 +134,7 @@
         self._shift: Shift | None = None
         self._owing: asyncio.TimerHandle | None = None  # the next attempt to keep what a reload put aside
         self._fleet: Agent | None = None
+        self._shares = shares_in(cfg, extras)
         self._size = 0  # of the group, as it was counted; 0: as the settings tell
 
     @property
@@ -166,7 +179,7 @@
         from mallowlug.upgrade.shift import Shift  # noqa: PLC0415
 
         self._shift = Shift(cfg.state, self._system.disk, self, self._extras.durable)
-        console = Console(self._desk, cfg.console, cfg.sockets // CALLERS, self._system)
+        console = Console(self._desk, cfg.console, self._shares.callers - 1, self._system)
         await console.start()
         LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
         return console
@@ -228,10 +241,10 @@
                 self._ended.set_result(1)
 
         driver = Driver(
-            settings=cfg.settings,
+            settings=self._within(cfg.settings),
             seed=cfg.seed,
             journal=self._journal,
-            plugs=plugs_of(cfg, known.seq, system),
+            plugs=plugs_of(cfg, known.seq, system, self._shares.calls),
             clock=clock_of(system, cfg.state, self._loop.time),
             listings=Listings(self._extras.awake, self._extras.rest_s),
             figures=self._figures,
@@ -264,11 +277,12 @@
         """The group is of another size: through the module, as any setting is."""
         self._size = size
         if self.driver is not None:
-            self.driver.change(self._sized(self._cfg.settings))
+            self.driver.change(self._within(self._cfg.settings))
 
-    def _sized(self, settings: Settings) -> Settings:
-        """Settings with the group as it was counted, where it is."""
-        return replace(settings, group_size=self._size) if self._size else settings
+    def _within(self, settings: Settings) -> Settings:
+        """Settings with the group as it was counted, where it is, and no more calls out than descriptors."""
+        slots, size = min(settings.slots, self._shares.calls), self._size or settings.group_size
+        return replace(settings, slots=slots, group_size=size)
 
     def retire(self) -> None:
         """Close the journal and let go of everything that is out."""
@@ -315,7 +329,7 @@
         self._go_by(cfg)
         self._put_aside()
         if self.driver is not None:
-            self.driver.change(self._sized(cfg.settings))
+            self.driver.change(self._within(cfg.settings))
             self.driver.move(cfg.discovery)
         return True
 
--- a/mallowlug/fronts/resp2.py
+++ b/mallowlug/fronts/resp2.py
@@ -20,7 +20,6 @@
 READ = 32 * 1024  # bytes taken from one connection before the others have their turn
 MOST_TURN = 32  # requests of one connection before the others have their turn
 MOST_ERRORS = 8  # requests of one connection that make no sense, before it is closed
-MOST_ACCEPTS = 16  # connections taken on before any of them is served
 SILENT_S = 2.05  # s in which a new connection has to say something
 REQUEST_S = 0.8  # s from a request's first byte to its last: its client waits for 0.4 s
 LINGER_S = 0.4  # s in which a lingering close waits for the client's end: so long it waits for an answer
@@ -281,9 +280,11 @@
     """
 
     def __init__(
-        self, core: Intake, address: Address, most: int, system: System, shared: bool = False
+        self, core: Intake, address: Address, most: int, system: System, shared: bool = False,
+        *, burst: int = 16,
     ) -> None:
         self.core, self._address, self.most, self._system = core, address, most, system
+        self._burst = burst  # connections taken on before any of them is served
         self._shared = shared  # whether another process of this relay may listen beside this one
         self._sock: socket.socket | None = None
         self.parting = False
@@ -311,7 +312,7 @@
         # The loop takes on as many connections in one turn as its backlog has room for, before any is counted
         # here: a burst would use up the descriptors. The kernel's own backlog stays long.
         sock = self._sock = self._system.listener(self._address, self._shared)
-        self._server = await loop.create_server(lambda: Client(self), sock=sock, backlog=MOST_ACCEPTS)
+        self._server = await loop.create_server(lambda: Client(self), sock=sock, backlog=self._burst)
         sock.listen(512)
         self._sweep()
 
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -145,10 +145,13 @@
         settled: Settled,
         released: Released,
         system: System,
+        most_open: int = 1 << 16,
     ) -> None:
+        """``most_idle``, ``most_open``: connections kept between calls; and with those that carry one."""
         self._now_s, self._system = asyncio.get_running_loop().time, system
         self._kinds = {kind.name: kind for kind in kinds}
         self._idle_s, self._connect_s = keepalive_us / 1e6 * IDLE_SHARE, connect_us / 1e6
+        self._most_open = most_open
         self._most_idle, self._settled, self._released = most_idle, settled, released
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
@@ -396,6 +399,7 @@
         listed = self._listed.get(host)
         if listed is None:
             raise ConnectionError("no longer listed")
+        self._make_room()
         async with asyncio.timeout(self._connect_s):
             return await Connection.open(listed.dial, self._system)
 
@@ -411,6 +415,14 @@
             connection.close()
         return None
 
+    def _make_room(self) -> None:
+        """Close the idle connections that are due first, so that a new one finds a descriptor."""
+        while any(self._idle.values()) and sum(map(len, self._idle.values())) + len(self.exchanges) > (
+            self._most_open
+        ):
+            first = min((idle for idle in self._idle.values() if idle), key=lambda idle: idle[0][1].when())
+            self._drop(*first.pop(0))
+
     def _keep(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
         if not self._serves(host) or not connection.reusable():
