--- a/mallowlug/core/outs.py
+++ b/mallowlug/core/outs.py
@@ -16,7 +16,7 @@
 
 LOG = logging.getLogger(__name__)
 FILE = "out"
-MOST_BYTES = 2048  # of the file: it shares the folder's budget with the journal
+MOST_BYTES = 32 * 1024  # of the file, over a thousand ids: it shares the folder's budget with the journal
 MOST_ID = 128  # characters of a host's id
 
 
--- a/mallowlug/upgrade/binds.py
+++ b/mallowlug/upgrade/binds.py
@@ -1,11 +1,13 @@
 """The file in which a process that hands over tells its successor what binds it beside the journal.
 
-A file that is missing, torn or absurd costs what it would have told, and no message.
+A file that is missing, torn or absurd costs what it would have told, and no message. It is JSON, compressed
+where it would be too long as it is: a list of a thousand hosts and what was learned of each have room.
 """
 
 from __future__ import annotations
 
 import logging
+import zlib
 from pathlib import Path
 
 import msgspec
@@ -15,7 +17,8 @@
 
 LOG = logging.getLogger(__name__)
 FILE = "binds"
-MOST_BYTES = 24 * 1024  # of the file; a longer list is left out, and the directory's is waited for
+MOST_BYTES = 96 * 1024  # of the file; a longer list is left out, and the directory's is waited for
+MOST_PLAIN = 16 << 20  # bytes of what a file may hold; one that claims more is absurd
 
 
 def keep(folder: Path, disk: Disk, binds: Binds) -> bool:
@@ -23,19 +26,19 @@
 
     False where it is not kept: told waits would be forgotten, so nothing may be handed over then.
     """
-    data = msgspec.json.encode(binds)
+    data = packed(binds)
     if len(data) > MOST_BYTES:
         binds.over = []
-        data = msgspec.json.encode(binds)
+        data = packed(binds)
     if len(data) > MOST_BYTES:
         binds.seq, binds.rows = -1, {}
-        data = msgspec.json.encode(binds)
+        data = packed(binds)
     if len(data) > MOST_BYTES:
         binds.learned = []
-        data = msgspec.json.encode(binds)
+        data = packed(binds)
     if len(data) > MOST_BYTES:  # the file alone tells the successor what counts
         binds.config = ""
-        data = msgspec.json.encode(binds)
+        data = packed(binds)
     try:
         return swap(disk, folder / FILE, data)
     except OSError as error:
@@ -43,13 +46,30 @@
         return False
 
 
+def packed(binds: Binds) -> bytes:
+    """The file's bytes."""
+    data = msgspec.json.encode(binds)
+    return data if len(data) <= MOST_BYTES else zlib.compress(data)
+
+
+def unpacked(data: bytes) -> bytes:
+    """The JSON in a file's bytes; ``zlib.error`` where there is none."""
+    if data.startswith(b"{"):
+        return data
+    plain = zlib.decompressobj()
+    found = plain.decompress(data, MOST_PLAIN)
+    if not plain.eof:
+        raise zlib.error("cut short, or far too long")
+    return found
+
+
 def take(folder: Path, disk: Disk) -> Binds | None:
     """What the one before has left."""
     try:
-        return msgspec.json.decode(disk.read(folder / FILE), type=Binds)
+        return msgspec.json.decode(unpacked(disk.read(folder / FILE)), type=Binds)
     except FileNotFoundError:
         return None
-    except (OSError, msgspec.MsgspecError) as error:
+    except (OSError, zlib.error, msgspec.MsgspecError) as error:
         LOG.error("handover: what binds beside the journal cannot be read: %s", error)
         return None
 
