The test of calls within their descriptors waits for what would go out beyond them

Change: the host is known from the start, so that its quota is whole, and the look comes fifty answers later.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -61,6 +61,7 @@
     world.sockets = 64
     world.settings["domain"]["calls_out"] = 100
     host = await world.add("h1", silent)
+    world.known = list(world.directory.hosts.values())  # one that is known may have many calls at once
     client = await world.run()
     assert world.process is not None
     resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (64, 64))
@@ -68,9 +69,11 @@
     for number in range(40):
         assert await client.hand_in(f"n{number}") == b"+OK"
     calls = shares_of(64, 1, False).calls
-    await host.until(lambda: len(host.seen) >= calls // 2)
+    await host.until(lambda: len(host.seen) >= calls - 3)  # a quarter of the slots is for others
     assert await (await world.client()).command(b"PING") == b"+PONG"
-    assert await client.command(b"PING") == b"+PONG"
+    for _ in range(50):  # in which the rest would go out
+        assert await client.command(b"PING") == b"+PONG"
+        await asyncio.sleep(0.01)
     assert host.connections <= calls
 
 
