What is set aside for staff goes by the folder's size: small ones could take nothing on

Change: core/staff_room.py: files with room for a thousand hosts from 3 MB on, else the bounds as they were.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -21,6 +21,7 @@
 from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Intake, Plugs
 from mallowlug.core.relay import Driver
+from mallowlug.core.staff_room import staff_room
 from mallowlug.directory.discovery import FIRST_S, Watch
 from mallowlug.ends.notices import Notices
 from mallowlug.fronts.resp2 import Server
@@ -38,7 +39,6 @@
 SERVE_S = 2.6  # s after SIGTERM in which clients are still served: nobody else has what they would bring
 LAST_S = 3.2  # s after SIGTERM when the process is gone by itself; SIGKILL comes no sooner than 3.7 s
 SHUT_S = 0.3  # s after SIGTERM when a process that has a successor stops listening: its queue is empty then
-STAFF_BYTES = 384 * 1024  # of the lasting folder, where there is a console: staff's calls, upgrades
 LEAST_ANSWER_S = 0.05  # s for an agent's answer, where a drain has no grace: the slack of the rules
 LOOK_S = 0.02  # s between looks whether a shutdown is complete
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
@@ -124,8 +124,9 @@
         self._loop = asyncio.get_running_loop()
         self._ended: asyncio.Future[int] = self._loop.create_future()
         self._terminated = asyncio.Event()
+        room = staff_room(cfg.disk_bytes)
         self._figures = Figures(cls.name for cls in cfg.settings.classes)
-        self._outs = Outs(cfg.state, system.disk, extras.durable)
+        self._outs = Outs(cfg.state, system.disk, extras.durable, most_bytes=room.outs)
         self._desk = Desk(self._figures, self._outs)
         self._desk.names = {listed.entry.host for listed in cfg.known.hosts} if cfg.console else set()
         self._journal: Journal | None = None
@@ -178,7 +179,10 @@
         from mallowlug.console.server import Console  # noqa: PLC0415
         from mallowlug.upgrade.shift import Shift  # noqa: PLC0415
 
-        self._shift = Shift(cfg.state, self._system.disk, self, self._extras.durable)
+        self._shift = Shift(
+            cfg.state, self._system.disk, self, self._extras.durable,
+            most_binds=staff_room(cfg.disk_bytes).binds,
+        )  # fmt: skip
         console = Console(self._desk, cfg.console, self._shares.callers - 1, self._system)
         await console.start()
         LOG.info("%s has its console at %s:%d", cfg.name, *cfg.console)
@@ -232,7 +236,7 @@
     def take_up(self, binds: Binds | None) -> Driver:
         """Read the journal and go on from it."""
         cfg, system = self._cfg, self._system
-        disk_bytes = cfg.disk_bytes - (cfg.console is not None) * STAFF_BYTES
+        disk_bytes = cfg.disk_bytes - (cfg.console is not None) * staff_room(cfg.disk_bytes).total
         self._journal = Journal(cfg.state, disk_bytes, system.disk, self._extras.durable)
         known, self._known = list_of(binds, self._known), HostList(0, True, ())
 
--- a/mallowlug/core/outs.py
+++ b/mallowlug/core/outs.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
+from mallowlug.core.staff_room import ROOMY
 from mallowlug.system import Disk, swap
 
 LOG = logging.getLogger(__name__)
 FILE = "out"
-MOST_BYTES = 32 * 1024  # of the file, over a thousand ids: it shares the folder's budget with the journal
 MOST_ID = 128  # characters of a host's id
 
 
@@ -44,7 +44,11 @@
 class Outs:
     """Which hosts are out. ``changed`` hears of every change, once it is kept."""
 
-    def __init__(self, folder: Path, disk: Disk, durable: bool = False) -> None:
+    def __init__(
+        self, folder: Path, disk: Disk, durable: bool = False, *, most_bytes: int = ROOMY.outs
+    ) -> None:
+        """``most_bytes``: of the file, which shares the folder's budget with the journal."""
+        self._most_bytes = most_bytes
         self._path, self._disk, self._durable = folder / FILE, disk, durable
         self.changed: Callable[[str, bool], None] = lambda _host, _out: None
         self.hosts: dict[str, None] = {}
@@ -85,7 +89,7 @@
 
     def _keep(self, hosts: dict[str, None], host: str) -> str:
         data = b"".join(msgspec.json.encode(name) + b"\n" for name in hosts)
-        if len(data) > MOST_BYTES and len(hosts) > len(self.hosts):
+        if len(data) > self._most_bytes and len(hosts) > len(self.hosts):
             return "too many hosts are out already"
         try:
             if not swap(self._disk, self._path, data, self._durable):
--- /dev/null
+++ b/mallowlug/core/staff_room.py
@@ -0,0 +1,28 @@
+"""How much of the lasting folder is set aside where there is a console: for staff's calls and for upgrades.
+
+Each file stands twice while it is written anew; a door has three of 32 kB. Where the folder has room, a list
+of over a thousand hosts fits into each file; in a small one the journal needs the bytes more.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StaffRoom:
+    """Bytes: in all, of the file that is handed over, of the hosts that are out by hand."""
+
+    total: int
+    binds: int
+    outs: int
+
+
+ROOMY_BYTES = 3_000_000  # of a folder that is roomy: the deployment's usual one
+ROOMY = StaffRoom(384 * 1024, 96 * 1024, 32 * 1024)
+SMALL = StaffRoom(192 * 1024, 24 * 1024, 2 * 1024)
+
+
+def staff_room(disk_bytes: int) -> StaffRoom:
+    """The part of a folder of so many bytes."""
+    return ROOMY if disk_bytes >= ROOMY_BYTES else SMALL
--- a/mallowlug/upgrade/binds.py
+++ b/mallowlug/upgrade/binds.py
@@ -13,32 +13,33 @@
 import msgspec
 
 from mallowlug.core.binds import Binds
+from mallowlug.core.staff_room import ROOMY
 from mallowlug.system import Disk, swap
 
 LOG = logging.getLogger(__name__)
 FILE = "binds"
-MOST_BYTES = 96 * 1024  # of the file; a longer list is left out, and the directory's is waited for
 MOST_PLAIN = 16 << 20  # bytes of what a file may hold; one that claims more is absurd
 
 
-def keep(folder: Path, disk: Disk, binds: Binds) -> bool:
-    """Write it down in one piece; of what does not fit the ids that are over go first, then the list.
+def keep(folder: Path, disk: Disk, binds: Binds, most: int = ROOMY.binds) -> bool:
+    """Write it down in one piece; of what does not fit into ``most`` bytes the ids that are over go first,
+    then the list, and the directory's is waited for.
 
     False where it is not kept: told waits would be forgotten, so nothing may be handed over then.
     """
-    data = packed(binds)
-    if len(data) > MOST_BYTES:
+    data = packed(binds, most)
+    if len(data) > most:
         binds.over = []
-        data = packed(binds)
-    if len(data) > MOST_BYTES:
+        data = packed(binds, most)
+    if len(data) > most:
         binds.seq, binds.rows = -1, {}
-        data = packed(binds)
-    if len(data) > MOST_BYTES:
+        data = packed(binds, most)
+    if len(data) > most:
         binds.learned = []
-        data = packed(binds)
-    if len(data) > MOST_BYTES:  # the file alone tells the successor what counts
+        data = packed(binds, most)
+    if len(data) > most:  # the file alone tells the successor what counts
         binds.config = ""
-        data = packed(binds)
+        data = packed(binds, most)
     try:
         return swap(disk, folder / FILE, data)
     except OSError as error:
@@ -46,10 +47,10 @@
         return False
 
 
-def packed(binds: Binds) -> bytes:
+def packed(binds: Binds, most: int) -> bytes:
     """The file's bytes."""
     data = msgspec.json.encode(binds)
-    return data if len(data) <= MOST_BYTES else zlib.compress(data)
+    return data if len(data) <= most else zlib.compress(data)
 
 
 def unpacked(data: bytes) -> bytes:
--- a/mallowlug/upgrade/shift.py
+++ b/mallowlug/upgrade/shift.py
@@ -15,6 +15,7 @@
 from mallowlug.core.model import Answer, Handed, Refused
 from mallowlug.core.ports import Intake
 from mallowlug.core.relay import Driver
+from mallowlug.core.staff_room import ROOMY
 from mallowlug.system import APPEND, Disk
 from mallowlug.upgrade import binds as told
 from mallowlug.upgrade.locks import Succession
@@ -82,7 +83,11 @@
 class Shift:
     """One process's way through its places."""
 
-    def __init__(self, folder: Path, disk: Disk, staff: Staff, durable: bool = False) -> None:
+    def __init__(
+        self, folder: Path, disk: Disk, staff: Staff, durable: bool = False, *, most_binds: int = ROOMY.binds
+    ) -> None:
+        """``most_binds``: bytes of the file that is handed over."""
+        self._most_binds = most_binds
         self._folder, self._disk, self._staff, self._durable = folder, disk, staff, durable
         self.line = Succession(folder, disk)
         self._adoption = Adoption(folder, disk, durable)
@@ -165,7 +170,7 @@
         self._adoption.look(driver)
         self._share()  # the last moment: from here to the end nothing else runs in this process
         binds = self._staff.binds()
-        if not (driver.settled() and told.keep(self._folder, self._disk, binds)):
+        if not (driver.settled() and told.keep(self._folder, self._disk, binds, self._most_binds)):
             LOG.warning("upgrade: the disk is full or failing; serving on")
             driver.pause(False)
             await asyncio.sleep(REST_S)
--- a/tests/sim/test_upgrades.py
+++ b/tests/sim/test_upgrades.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +11,7 @@
 from mallowlug.compose import Node
 from mallowlug.core.outs import Outs
 from mallowlug.core.relay import Driver
+from mallowlug.core.staff_room import SMALL as SMALL_ROOM
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.sim import exhaust
 from mallowlug.rig.sim.disk import SimDisk
@@ -260,7 +262,7 @@
 def test_a_journal_that_takes_more_than_its_part_of_the_folder_is_found(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("mallowlug.compose.STAFF_BYTES", -600_000)
+    monkeypatch.setattr("mallowlug.compose.staff_room", lambda _bytes: replace(SMALL_ROOM, total=-600_000))
     assert folder(tmp_path, monkeypatch)[0] > 600_000
 
 
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -10,7 +10,8 @@
 from mallowlug.core.binds import Binds, Learnt
 from mallowlug.core.listings import Listings
 from mallowlug.core.model import HostList, Listed
-from mallowlug.core.outs import MOST_BYTES, Outs
+from mallowlug.core.outs import Outs
+from mallowlug.core.staff_room import ROOMY, SMALL, staff_room
 from mallowlug.fleet import records
 from mallowlug.operator.model import OperatorFile
 from mallowlug.system import POSIX
@@ -61,18 +62,26 @@
 def test_a_successor_is_told_of_so_many_hosts(count: int, tmp_path: Path) -> None:
     binds = handed_over(HOSTS[:count])
     assert told.keep(tmp_path, POSIX.disk, binds)
-    assert (tmp_path / told.FILE).stat().st_size <= told.MOST_BYTES
+    assert (tmp_path / told.FILE).stat().st_size <= ROOMY.binds
     kept = told.take(tmp_path, POSIX.disk)
     assert kept is not None
     assert (kept.seq, len(kept.rows), len(kept.learned)) == (41, count, count)
 
 
+def test_what_is_set_aside_leaves_a_small_folder_to_the_journal() -> None:
+    """Each file stands twice while it is written anew, and a door has three of 32 kB."""
+    for room in (ROOMY, SMALL):
+        assert 2 * room.binds + 2 * room.outs + 3 * 32 * 1024 <= room.total
+    assert staff_room(3_000_000) == ROOMY and ROOMY.total <= 3_000_000 // 7
+    assert staff_room(1_000_000) == SMALL and SMALL.total <= 1_000_000 // 5
+
+
 def test_so_many_hosts_can_be_out_by_hand_and_one_too_many_is_told(tmp_path: Path) -> None:
     outs = Outs(tmp_path, POSIX.disk)
     for host in HOSTS:
         assert outs.put(host) == ""
     assert len(Outs(tmp_path, POSIX.disk).hosts) == MANY + 1
-    long = [f"{number:0>120}" for number in range(MOST_BYTES // 120)]
+    long = [f"{number:0>120}" for number in range(ROOMY.outs // 120)]
     said = [outs.put(host) for host in long]
     assert said[0] == "" and said[-1] == "too many hosts are out already"
     kept = Outs(tmp_path, POSIX.disk).hosts
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,6 +15,7 @@
 import pytest
 
 from mallowlug.core.binds import Binds
+from mallowlug.core.staff_room import ROOMY
 from mallowlug.system import POSIX, PosixDisk
 from mallowlug.upgrade import binds as told
 from mallowlug.upgrade.locks import Lock, Succession
@@ -442,7 +443,7 @@
     }
     many = Binds({"h1": 5}, [("h1", 5, 1.0, 2.0, 3.0, -1, 0)], 7, rows, [f"id-{n}" for n in range(512)])
     assert told.keep(tmp_path, POSIX.disk, many)
-    assert (tmp_path / "binds").stat().st_size <= told.MOST_BYTES
+    assert (tmp_path / "binds").stat().st_size <= ROOMY.binds
     kept = told.take(tmp_path, POSIX.disk)
     assert kept is not None
     assert (kept.waits, kept.seq, kept.rows, kept.over) == ({"h1": 5}, -1, {}, [])
