--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -85,6 +85,8 @@
         "keyed after an error in another zone": lambda: keyed(100, "error", "b1"),
         "unsafe refused though it may have run": lambda: Story()
         .ask(0, "m", "unsafe").call(5, "m", end="error").notice(100, "m", "bounced"),
+        "a second copy that is given up only later": lambda: Story(may_duplicate=False)
+        .ask(0, "m").call(5, "m", took=500).call(100, "m", end="gone", took=200),
         "a second copy where none is allowed": lambda: Story(may_duplicate=False)
         .ask(0, "m").call(5, "m", took=500).call(100, "m", took=10),
         "a second copy of a keyed one where none is allowed": lambda: Story(may_duplicate=False)
@@ -229,6 +231,8 @@
     "keyed in its window and zone": lambda: keyed(24_900, "gone", "a2"),
     "keyed anywhere refused": lambda: Story()
     .ask(0, "m", "anywhere").call(5, "m", end="error").notice(100, "m", "bounced"),
+    "a call that a link held up behind the next one, its end with it": lambda: Story(may_duplicate=False)
+    .ask(0, "m").call(5, "m", took=500).call(100, "m", end="gone", took=1),
     "a second copy of a safe one": lambda: Story()
     .ask(0, "m").call(5, "m", took=500).call(100, "m", took=10),
     "the next just before the end of the one before has come, where no copies are allowed": lambda: Story(
