--- /dev/null
+++ b/tests/slow_start/test_shut_destinations.py
@@ -0,0 +1,24 @@
+"""The incident of report 4e6e9b on real processes: 48 relays are told when destinations that shut will open."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from mallowlug.rig.judge import record as rec
+from mallowlug.rig.judge.rules import judge
+from mallowlug.rig.run.play import play
+from mallowlug.rig.world.scenario import load_real
+
+SCENARIO = Path(__file__).parents[2] / "scenarios" / "shut-destinations.toml"
+SEEDS = (21, 22, 23)  # each broke the rule on the release that failed
+
+
+def test_relays_that_were_told_one_opening_time_break_no_rule(tmp_path: Path) -> None:
+    breaches = list[str]()
+    for seed in SEEDS:
+        scenario = load_real(SCENARIO).model_copy(update={"seed": seed})
+        done = asyncio.run(play(scenario, tmp_path / str(seed)))
+        assert done.crashed == ()
+        breaches += [f"seed {seed}: {breach}" for breach in judge(rec.read(done.path)).breaches]
+    assert breaches == []
