--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -260,6 +260,9 @@
                     self.dests[known.dest].listed_anew()
                 # One that comes later may be new and cold: its quota grows from one call with its successes.
                 known = self._enlist(entry, kind, 1 if later else start, even)
+            elif known.listing is Listing.GONE and entry.listing is Listing.READY:
+                # All hear of it in one moment, and nobody knows what it did meanwhile.
+                self._doubt(known, "listed again", confirms=False)
             known.follow(entry.listing, self.now)
             dest.listed_anew()
             self.look[entry.dest] = None
@@ -693,21 +696,24 @@
         self._report(endpoint, change, message)
         if event.verdict is Verdict.ERROR:
             slow.refund(self.now, self.budget, load)
+        if slow.phase is not Phase.DOWN and not _hung(event):
+            return
+        # Endpoints of a destination mostly fail together.
+        confirms = not _hung(event) and event.elapsed_us <= RECENT_US
         for sibling in self.dests[endpoint.dest].ready():
-            if sibling is not endpoint and (slow.phase is Phase.DOWN or _hung(event)):
-                self._doubt(sibling, endpoint, event)
-
-    def _doubt(self, sibling: Endpoint, failed: Endpoint, event: Outcome) -> None:
-        """Endpoints of a destination mostly fail together: one that has not just served may be out."""
-        load = self._load(self.dests[sibling.dest], sibling.own)
-        reason = f"{failed.host} failed"
-        change = sibling.own.slow.doubted(self.now, self.budget, load, self.rng.random(), reason)
+            if sibling is not endpoint:
+                self._doubt(sibling, f"{endpoint.host} failed", confirms=confirms)
+
+    def _doubt(self, endpoint: Endpoint, reason: str, *, confirms: bool) -> None:
+        """An endpoint that has not just served may be out. ``confirms``: one call may tell at once."""
+        load = self._load(self.dests[endpoint.dest], endpoint.own)
+        change = endpoint.own.slow.doubted(self.now, self.budget, load, self.rng.random(), reason)
         if change is None:
             return
-        self._report(sibling, change)
-        self._care(sibling, CARE_US, CareKind.SUSPICION)
-        if not _hung(event) and event.elapsed_us <= RECENT_US:
-            sibling.own.slow.confirm_by(self.now + CONFIRM_US)
+        self._report(endpoint, change)
+        self._care(endpoint, CARE_US, CareKind.SUSPICION)
+        if confirms:
+            endpoint.own.slow.confirm_by(self.now + CONFIRM_US)
 
     def _follow_up(self, endpoint: Endpoint, guard: Guard, event: Outcome) -> None:
         """Behind a failure: what a later life has to know, and until when a second call may tell more."""
@@ -716,8 +722,10 @@
             left_us = max(0, guard.wait_us - self.now)
             self._care(endpoint, left_us + CARE_US, CareKind.OUTAGE if known else CareKind.SUSPICION)
         pause_us = max(0, guard.pause_us - self.now)
+        # Where no limit is told, a wait is most likely an outage's, and ends for all senders in one moment.
+        common = _hung(event) or (event.wait_us > 0 and not guard.rate)
         # Behind more than that an outage might have passed meanwhile.
-        if not _hung(event) and max(pause_us, event.elapsed_us) <= RECENT_US:
+        if not common and max(pause_us, event.elapsed_us) <= RECENT_US:
             guard.slow.confirm_by(self.now + pause_us + CONFIRM_US)
 
     @staticmethod
@@ -753,7 +761,8 @@
         """Answer for good: a refusal where a retry is harmless, else a failure."""
         keyed_anywhere = message.cls.effect is Effect.KEYED and not message.cls.scope_is_zone
         harmless = message.cls.effect is Effect.SAFE or message.risky_us < 0 or keyed_anywhere
-        wait_us = self.set.max_retry_after_us * self.set.advise_retry
+        # One figure for all would bring their clients back together.
+        wait_us = int(self.set.max_retry_after_us * self.set.advise_retry * self.rng.uniform(0.5, 1.0))
         self.actions.append(Refuse(message.id, wait_us) if harmless else Fail(message.id))
         self._close(message)
 
@@ -893,7 +902,7 @@
             self.look = {}
         for number in looked:
             if (dest := self.dests[number]).held:
-                times = [max(g.clear_us(self.now, self.budget) for g in e.guards) for e in dest.ready()]
+                times = [e.clear_us(self.now, self.budget) for e in dest.ready()]
                 times += [self.rests.get(m.key, 0) for m in dest.resting.values()]
                 later = min((at_us for at_us in times if at_us > self.now), default=0)
                 if later and not self.now < dest.due_us <= later:  # one that is noted brings us here again
@@ -930,7 +939,9 @@
         for guard in endpoint.guards:
             if self.now < guard.wait_us or self.now < guard.next_us:
                 return False
-            if guard.slow.phase is not Phase.HEALTHY and self.now < guard.slow.call_us(self.now, self.budget):
+            if guard.slow.phase is not Phase.HEALTHY and self.now < endpoint.slow.call_us(
+                self.now, self.budget
+            ):
                 return False
         others = dest.endpoints.values()
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
@@ -973,8 +984,8 @@
                 gap_us = int(1e6 / pace * self.rng.uniform(0.5, 1.5))  # not back together
                 limit.next_us = max(limit.next_us, self.now - BURST_US) + gap_us
         first = call.messages == 0
-        for guard in endpoint.guards:  # what travels with others weighs a part of a call where one is cold
-            if guard.slow.phase is not Phase.HEALTHY:
+        for guard in endpoint.guards:  # what travels with others weighs a part of a call
+            if guard.slow.phase is not Phase.HEALTHY and guard.slow is endpoint.slow:
                 guard.slow.charge(self.now, self.budget, 1.0 if first else FURTHER, first=first)
         self._unhold(message)  # before its tries and what they may have done say another lane
         message.first = False
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mossfront.interface import Arrival, CareKind, Entry, Kind, Listing, Rules
-from mossfront.slow_start import NEVER_US, Budget, SlowStart
+from mossfront.slow_start import NEVER_US, Budget, Phase, SlowStart
 
 if TYPE_CHECKING:
     from mossfront.backlog import Lane
@@ -91,10 +91,6 @@
         """When neither a told wait nor an own pause holds back a call any more."""
         return self.wait_us if self.wait_us > self.next_us else self.next_us
 
-    def clear_us(self, now_us: int, budget: Budget) -> int:
-        """When nothing here holds back a call any more, if no new message comes."""
-        return max(self.wait_us, self.next_us, self.slow.call_us(now_us, budget))
-
 
 class Endpoint:
     """One address: its calls in flight, quota, failure ratio and records by class."""
@@ -112,6 +108,21 @@
         self.care_us = 0  # until when a later life was told to take care
         self.care_kind = CareKind.OUTAGE
 
+    @property
+    def slow(self) -> SlowStart:
+        """The slow start whose credit a call needs: that of the shared limit goes before the own one."""
+        shared = self.limit.slow
+        return self.own.slow if shared.phase is Phase.HEALTHY else shared
+
+    def clear_us(self, now_us: int, budget: Budget) -> int:
+        """When nothing here holds back a call any more, if no new message comes."""
+        clear_us = NEVER_US
+        for guard in self.guards:
+            clear_us = max(clear_us, guard.wait_us, guard.next_us)
+            if guard.slow.phase is not Phase.HEALTHY:
+                clear_us = max(clear_us, self.slow.call_us(now_us, budget))
+        return clear_us
+
     def follow(self, listing: Listing, now_us: int) -> None:
         """Follow the directory."""
         if listing is Listing.GONE and self.listing is not listing:
--- /dev/null
+++ b/tests/slow_start/moments.py
@@ -0,0 +1,101 @@
+"""Moments that all relays of a group have in common.
+
+Whatever ends for all (a wait, a hang, a stop, a list, a restart), the group may not act on it at once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from tests.slow_start.outages import Draw, Failure, Restart, whole_draw
+
+Kind = Callable[[int, int], Draw]
+
+
+def _plain(seed: int, relays: int) -> Draw:
+    """A whole destination of one to three endpoints, out once for 7 to 13 s, with no restart."""
+    rng = random.Random(f"moment {relays} {seed}")
+    endpoints = rng.choice((1, 2, 3))
+    return replace(
+        whole_draw(seed, relays),
+        endpoints=endpoints,
+        struck=endpoints,
+        load=rng.uniform(0.5, 1.3),
+        length_s=rng.uniform(7, 13),
+        restart=None,
+        stagger_s=0.0,
+        failure=rng.choice(tuple(Failure)),
+    )
+
+
+def told_wait(seed: int, relays: int) -> Draw:
+    """Every refusal names the time of the opening."""
+    return replace(_plain(seed, relays), failure=Failure.SHUT, wait_told=1.0)
+
+
+def long_told_wait(seed: int, relays: int) -> Draw:
+    """The same, in an outage of 30 to 45 s."""
+    length_s = random.Random(seed).uniform(30, 45)
+    return replace(told_wait(seed, relays), length_s=length_s)
+
+
+def told_at_a_limit(seed: int, relays: int) -> Draw:
+    """A limited endpoint that is shut, whose refusals use its limit up and mostly name a wait."""
+    return replace(told_wait(seed, relays), kind="bank", refusals_count=True, wait_told=0.8)
+
+
+def hung_calls(seed: int, relays: int) -> Draw:
+    """Calls that hung break at the return, for all relays and endpoints at one time."""
+    return replace(_plain(seed, relays), failure=Failure.TIMEOUT)
+
+
+def staggered(seed: int, relays: int) -> Draw:
+    """One endpoint returns before the next."""
+    return replace(_plain(seed, relays), stagger_s=random.Random(seed).uniform(0.2, 4))
+
+
+def restarted(seed: int, relays: int) -> Draw:
+    """All relays are restarted just behind the return, as behind a power loss."""
+    return replace(_plain(seed, relays), restart=Restart(1.0, 0.2))
+
+
+def restarted_from_silence(seed: int, relays: int) -> Draw:
+    """The same with a destination that was silent: calls are out as the relays are killed."""
+    return replace(restarted(seed, relays), failure=Failure.TIMEOUT)
+
+
+def restarted_late(seed: int, relays: int) -> Draw:
+    """Four fifths are restarted behind an outage of 30 to 45 s, which the former lives saw begin."""
+    length_s = random.Random(seed).uniform(30, 45)
+    return replace(_plain(seed, relays), length_s=length_s, restart=Restart(0.8, 0.5))
+
+
+def stopped(seed: int, relays: int) -> Draw:
+    """All relays stand still for two seconds around the return, and then run on."""
+    return replace(_plain(seed, relays), stopped_s=2.0)
+
+
+def relisted(seed: int, relays: int) -> Draw:
+    """The list drops the endpoints while they are out, and names them again at their return."""
+    return replace(_plain(seed, relays), relisted=True)
+
+
+def clumped(seed: int, relays: int) -> Draw:
+    """Clients come back eight at a time."""
+    return replace(_plain(seed, relays), clump=8)
+
+
+def overloaded(seed: int, relays: int) -> Draw:
+    """More comes than the endpoints can take."""
+    return replace(_plain(seed, relays), load=random.Random(seed).uniform(1.2, 1.6))
+
+
+MOMENTS: dict[str, Kind] = {
+    kind.__name__: kind
+    for kind in (
+        told_wait, long_told_wait, told_at_a_limit, hung_calls, staggered, restarted, restarted_from_silence,
+        restarted_late, stopped, relisted, clumped, overloaded,
+    )
+}  # fmt: skip
--- a/tests/slow_start/outages.py
+++ b/tests/slow_start/outages.py
@@ -81,6 +81,10 @@
     struck: int = 1  # endpoints that are out: the first ones
     stagger_s: float = 0.0  # each further one returns so much later than the one before it
     wait_told: float = WAIT_TOLD  # share of refusals that name a wait
+    stopped_s: float = (
+        0.0  # all relays stand still for so long, from the middle of it before the first return
+    )
+    relisted: bool = False  # the list drops the endpoints in the outage, and names them again at its end
 
     def outages(self, endpoint: int = 0) -> list[tuple[int, int]]:
         """Begin and end of each outage (us) of an endpoint."""
@@ -250,12 +254,24 @@
             self.restart_us = outages[0][1] + int(draw.restart.after_s * 1e6)
             self.restarts = round(draw.restart.share * draw.relays)
         self._restarted = False
+        back_us, half_us = outages[0][1], int(draw.stopped_s * 1e6) // 2
+        self._stop_us, self._go_on_us = back_us - half_us, back_us + half_us
 
     def run(self) -> None:
         """Play the draw to its end."""
+        if self.draw.relisted:
+            self._relist()
         last_us = max(end for number in range(self.draw.struck) for _, end in self.draw.outages(number))
         self.play(last_us / 1e6 + AFTER_S)
 
+    def _relist(self) -> None:
+        """A new version of the list reaches all relays at one time: all gone, and later all ready again."""
+        start_us, end_us = self.draw.outages()[0]
+        for at_us, listing in (((start_us + end_us) // 2, api.Listing.GONE), (end_us, api.Listing.READY)):
+            entries = tuple(api.Entry(h.name, h.dest, "a", h.kind, listing) for h in self.hosts.values())
+            for relay in range(self.draw.relays):
+                self._put(at_us, relay, api.Roster(api.RosterKind.CHANGES, entries))
+
     def _arrivals(self, until_us: int) -> None:
         rate = self.demand[1] / self.draw.clump
         at_s = 0.0
@@ -267,6 +283,9 @@
                 self._put(int(at_s * 1e6), relay, message)
 
     def _feed(self, at_us: int, relay: int, event: api.Event) -> None:
+        if self._stop_us <= at_us < self._go_on_us:
+            self._put(self._go_on_us, relay, event)
+            return
         if at_us >= self.restart_us and not self._restarted:
             self._restarted = True
             for number in range(self.restarts):
