Ports given to test processes lie below the system's own, and none is given twice

Cause: free_port() bound port 0, closed it and handed the number on; a connection of any other test could take it before the process listened (a console answered 'Protocol ...' beside load). Port 0 and telling back is not possible where a process keeps its port over restarts and its peers are configured with it.

Change: ports are drawn below the ephemeral range and remembered; test runs side by side draw apart. Numbers can still meet between a draw and a listen, one in 20,000 for each pair.

--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import secrets
@@ -301,11 +302,24 @@
     return b"ENQUEUE", b"0" * 16, ref.encode(), names.encode(), body
 
 
+# Below the ports that the system gives to connections: one of those may be taken before a process listens.
+PORTS = range(12_000, 32_000)
+_given_ports: set[int] = set()
+
+
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """A port of this machine's loopback that nobody has now."""
-    with socket.socket(type=kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port of this machine's loopback that nobody has now, and that was not given before.
+
+    For a process that is told its port, and keeps it over restarts; test runs side by side draw apart.
+    """
+    while True:
+        port = secrets.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket(type=kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            _given_ports.add(port)
+            return port
 
 
 async def called(port: int, method: str, target: str) -> tuple[int, str]:
