--- a/mallowlug/rig/sim/shrink.py
+++ b/mallowlug/rig/sim/shrink.py
@@ -15,7 +15,8 @@
 import tomli_w
 
 from mallowlug.rig.judge import record as rec
-from mallowlug.rig.judge.rules import Breach, judge
+from mallowlug.rig.judge.rule import Breach
+from mallowlug.rig.judge.rules import judge
 from mallowlug.rig.sim.sweep import Result, played
 from mallowlug.rig.world import draw
 from mallowlug.rig.world.scenario import MessageTable, NetTable, Scenario
--- a/mallowlug/rig/soak/run.py
+++ b/mallowlug/rig/soak/run.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from mallowlug.rig.judge import record as rec
-from mallowlug.rig.judge.rules import Breach, judge
+from mallowlug.rig.judge.rule import Breach
+from mallowlug.rig.judge.rules import judge
 from mallowlug.rig.judge.service import service_of
 from mallowlug.rig.run.play import Options, play
 from mallowlug.rig.soak.plan import scenario_of
