Tests of decisions on siblings, lists and former lives, and of care records old and new

Need: the new decisions were held by draws alone.

Change: tests/slow_start/test_decisions.py (ten cases by the relay's actions), two tests of care records in tests/test_journal.py, one of them on records of older versions.

--- /dev/null
+++ b/tests/slow_start/test_decisions.py
@@ -0,0 +1,106 @@
+"""What the relay makes of failures, siblings, lists and former lives, by its actions alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from mossfront import Relay
+from mossfront import interface as api
+from mossfront.slow_start import Phase
+from tests.support import SAFE, SECOND, arrival, ended, entry, roster, sends, settings
+
+SPLIT = "split"  # a kind whose endpoints are routes of their own
+GROUP = settings(group_size=50, slots=8)
+
+
+def relay_with(*hosts: str) -> Relay:
+    """A relay of a group of fifty that knows these endpoints of one destination."""
+    relay = Relay(GROUP, 1)
+    relay.step(0, [roster(*(entry(host, kind=SPLIT) for host in hosts))])
+    return relay
+
+
+def phase(relay: Relay, host: str) -> Phase:
+    """What the relay takes an endpoint to be."""
+    return relay.endpoints[host].own.slow.phase
+
+
+def failed(relay: Relay, at_us: int, verdict: api.Verdict, wait_us: int = 0, took_us: int = 1000) -> str:
+    """A new message's call fails; the host that it went to."""
+    [send] = sends(relay.step(at_us, [arrival(f"m{at_us}", SAFE)]))
+    relay.step(at_us + took_us, [ended(send, verdict, took_us=took_us, wait_us=wait_us)])
+    return send.host
+
+
+def test_an_outage_casts_doubt_on_a_sibling_that_has_not_served() -> None:
+    relay = relay_with("h1", "h2")
+    out = failed(relay, SECOND, api.Verdict.FULL, wait_us=9 * SECOND)
+    sibling = "h2" if out == "h1" else "h1"
+    assert phase(relay, out) is Phase.DOWN and phase(relay, sibling) is Phase.SUSPECT
+
+
+def test_a_first_failure_alone_casts_none() -> None:
+    relay = relay_with("h1", "h2")
+    out = failed(relay, SECOND, api.Verdict.CONNECT_FAILED)
+    sibling = "h2" if out == "h1" else "h1"
+    assert phase(relay, out) is Phase.SUSPECT and phase(relay, sibling) is Phase.HEALTHY
+
+
+def test_what_hung_casts_doubt_and_frees_no_call() -> None:
+    relay = relay_with("h1", "h2")
+    failed(relay, SECOND, api.Verdict.RESET, took_us=2 * SECOND)
+    assert {phase(relay, host) for host in ("h1", "h2")} == {Phase.SUSPECT}
+    assert not any(relay.endpoints[host].own.slow._free(3 * SECOND) for host in ("h1", "h2"))
+
+
+def test_an_endpoint_that_is_listed_again_is_doubted() -> None:
+    relay = relay_with("h1")
+    for at_s, listing in ((5, api.Listing.GONE), (9, api.Listing.READY)):
+        changed = roster(entry("h1", kind=SPLIT, listing=listing), kind=api.RosterKind.CHANGES)
+        relay.step(at_s * SECOND, [changed])
+    assert phase(relay, "h1") is Phase.SUSPECT
+
+
+def test_an_endpoint_whose_listing_only_drains_and_is_ready_again_is_not() -> None:
+    relay = relay_with("h1")
+    for at_s, listing in ((5, api.Listing.DRAINING), (9, api.Listing.READY)):
+        changed = roster(entry("h1", kind=SPLIT, listing=listing), kind=api.RosterKind.CHANGES)
+        relay.step(at_s * SECOND, [changed])
+    assert phase(relay, "h1") is Phase.HEALTHY
+
+
+@pytest.mark.parametrize(
+    ("kind", "known"),
+    [
+        (api.CareKind.OUTAGE, Phase.DOWN),
+        (api.CareKind.SUSPICION, Phase.SUSPECT),
+        (api.CareKind.RETURN, Phase.SLOW_START),
+    ],
+)
+def test_a_restart_takes_up_the_phase_that_was_journaled(kind: api.CareKind, known: Phase) -> None:
+    relay = relay_with("h1")
+    relay.step(SECOND, [api.Care("h1", 5 * SECOND, kind, 0.5)])
+    assert phase(relay, "h1") is known
+    assert relay.endpoints["h1"].own.slow.served_share == 0.5
+
+
+def test_a_told_wait_is_journaled_beyond_its_end() -> None:
+    relay = relay_with("h1")
+    [send] = sends(relay.step(SECOND, [arrival("m1", SAFE)]))
+    told = ended(send, api.Verdict.FULL, wait_us=40 * SECOND)
+    cares = [action for action in relay.step(2 * SECOND, [told]) if isinstance(action, api.Care)]
+    assert [care.kind for care in cares] == [api.CareKind.OUTAGE]
+    assert cares[0].for_us > 40 * SECOND + 30 * SECOND
+
+
+def test_what_a_restart_found_earns_credit_over_its_time_and_not_at_once() -> None:
+    """A hundred messages, as many relays would hold together, at an endpoint that was out."""
+    relay = relay_with("h1")
+    found = [api.Arrival(f"f{number}", 1, SAFE.name, 6 * SECOND, found=True) for number in range(100)]
+    at_once = sends(relay.step(SECOND, [api.Care("h1", 99 * SECOND), *found]))
+    later = [
+        send for at_us in range(SECOND, 7 * SECOND, SECOND // 50)
+        for send in sends(relay.step(at_us, [api.TimerDue()]))
+    ]  # fmt: skip
+    assert len(at_once) <= 3, "one call, of up to three messages"
+    assert later, "some are tried"
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,8 +11,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from mallowlug.core.journal import SLACK_BYTES, Attempt, Journal, JournalFullError, blocks
+from mallowlug.core.journal import SLACK_BYTES, Attempt, DueCare, Journal, JournalFullError, blocks
 from mallowlug.system import POSIX, PosixDisk
+from mossfront.interface import CareKind
 
 DISK = 3_000_000
 
@@ -261,3 +262,21 @@
     journal.close()
     again = Journal(tmp_path, 100_000, POSIX.disk)
     assert {ref: message.notice for ref, message in again.recovered.items()} == {"a": ("dead", 0), "c": None}
+
+
+@pytest.mark.parametrize("kind", list(CareKind))
+def test_what_was_known_of_an_endpoint_comes_back(kind: CareKind, tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK, POSIX.disk)
+    due = DueCare(77_000_000, kind, 63)
+    journal.care("h1", due)
+    journal.close()
+    assert reopened(tmp_path).cares == {"h1": due}
+
+
+def test_care_records_of_older_versions_are_read(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, DISK, POSIX.disk)
+    journal._note(["care", "h1", 77])
+    journal._note(["care", "h2", 78, 1])
+    journal.close()
+    found = reopened(tmp_path).cares
+    assert found == {"h1": DueCare(77, CareKind.OUTAGE), "h2": DueCare(78, CareKind.SUSPICION)}
