--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -100,6 +100,13 @@
     return event.verdict in (Verdict.RESET, Verdict.CONNECT_FAILED) and event.elapsed_us > HUNG_US
 
 
+def _reason(event: Outcome) -> str:
+    """What a failed call tells the people on call."""
+    if event.wait_us > 0:
+        return f"{event.verdict.value}, told to wait {event.wait_us / 1e6:.1f} s"
+    return event.verdict.value
+
+
 class Relay:
     """One sender. Feed it batches of events in order of time; carry out what it returns."""
 
@@ -690,7 +697,7 @@
         failing = not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK
         load = self._load(self.dests[endpoint.dest], guard)
         change = slow.failed(
-            self.now, call.sent_us, self.budget, load, self.rng.random(), reason=event.verdict.value,
+            self.now, call.sent_us, self.budget, load, self.rng.random(), reason=_reason(event),
             outage=failing or event.wait_us > SHUT_US, hung=_hung(event),
         )  # fmt: skip
         self._report(endpoint, change, message)
--- a/tests/slow_start/test_decisions.py
+++ b/tests/slow_start/test_decisions.py
@@ -93,6 +93,13 @@
     assert cares[0].for_us > 40 * SECOND + 30 * SECOND
 
 
+def test_the_log_says_how_long_a_refusal_told_to_wait() -> None:
+    relay = relay_with("h1")
+    [send] = sends(relay.step(SECOND, [arrival("m1", SAFE)]))
+    lines = relay.step(2 * SECOND, [ended(send, api.Verdict.FULL, wait_us=9 * SECOND)])
+    assert api.Log("h1 healthy -> down: full, told to wait 9.0 s (message m1)") in lines
+
+
 def test_what_a_restart_found_earns_credit_over_its_time_and_not_at_once() -> None:
     """A hundred messages, as many relays would hold together, at an endpoint that was out."""
     relay = relay_with("h1")
