Read once more: one place for what clears an endpoint, suspicion, soak profiles and counts

Need: the dispatch and the wake-up reckoned twice when an endpoint may be called; a failure chose its guard twice; two paths began a suspicion by the same lines; a soak world's kind was asked for in five places, and its counts were written twice.

Change: Relay._room asks Endpoint.clear_us; _learn hands the guard on; SlowStart._suspicion_begins; shared guards are kept once by id; conditions that SlowStart asks itself are gone from _send; soak's Profile is a table of ranges; counted() serves the soak and its command; two tests of listings are one with both cases.

--- a/mallowlug/rig/cli.py
+++ b/mallowlug/rig/cli.py
@@ -254,6 +254,6 @@
             rules.update({breach.rule for breach in result.breaches})
     except soaks.SoakError as error:
         raise click.BadParameter(str(error)) from error
-    told = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "none"
+    told = soaks.counted(rules) or "none"
     print(f"{failed} of {len(seeds_of(seeds))} seeds failed; seeds by broken rule: {told}")
     return int(failed > 0)
--- a/mallowlug/rig/soak/plan.py
+++ b/mallowlug/rig/soak/plan.py
@@ -6,35 +6,48 @@
 from __future__ import annotations
 
 import random
-from typing import Any, Literal
+from dataclasses import dataclass
+from typing import Any
 
 from mallowlug.rig.world.scenario import Scenario
 
-Profile = Literal["outages", "together", "mixed", "crowd"]
-PROFILES: tuple[Profile, ...] = ("outages", "together", "mixed", "crowd")
 OUTAGES = ("refuse", "silent", "shut")
 FIRST_S, SPARE_S = 4.0, 5.0  # no outage before, and none that ends later than so long before the run's end
 WEIGHTS: tuple[tuple[float, ...], ...] = ((), (0.5, 1.5), (0.2, 0.5, 1.0, 1.0, 3.0))
-TOGETHER_DESTINATIONS = 16  # in a world in which many are out together
+FEWEST, MOST = 6, 16  # destinations
 CROWD_RELAYS, CROWD_SOCKETS = 6, 192  # a crowd fills the descriptors of a few relays
 KILLED_BEHIND_S = (-2.0, -0.5, 0.3, 1.0, 3.0)  # signals around the return of an endpoint
 
 
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """What the worlds of a kind have, and the ranges that they are drawn from."""
+
+    together: bool = False  # many whole destinations are out at one time, and most name their opening
+    troubles: bool = False  # of other kinds beside the outages
+    crowd: bool = False  # idle clients fill the descriptors
+    least_destinations: int = FEWEST
+    each_per_s: tuple[float, float] = (4.0, 9.0)  # messages for a destination: a cold one notices each
+    endpoints: tuple[list[int], ...] = ([1, 1], [1, 2], [1, 4])
+
+
+OUTAGES_ALONE = Profile()
+TOGETHER = Profile(together=True, least_destinations=MOST, each_per_s=(6.0, 8.0), endpoints=([2, 2], [1, 3]))
+PROFILES = (OUTAGES_ALONE, TOGETHER, Profile(troubles=True), Profile(troubles=True, crowd=True))
+
+
 def scenario_of(seed: int, relays: int, length_s: float) -> Scenario:
     """The world that a seed stands for."""
     rng = random.Random(f"soak {seed}")
     profile = PROFILES[seed % len(PROFILES)]
-    count = min(relays, CROWD_RELAYS) if profile == "crowd" else relays
-    destinations = rng.randint(6, 16)
-    if profile == "together":
-        destinations = TOGETHER_DESTINATIONS
-        events = _outages_together(rng, length_s)
-    else:
-        events = _outages(rng, destinations, length_s)
+    count = min(relays, CROWD_RELAYS) if profile.crowd else relays
+    destinations = max(profile.least_destinations, rng.randint(FEWEST, MOST))
+    outages = _outages_together if profile.together else _outages
+    events = outages(rng, destinations, length_s)
     events += _signals(rng, events, count, length_s)
-    if profile in ("mixed", "crowd"):
+    if profile.troubles:
         events += _troubles(rng, length_s)
-    if profile == "crowd":
+    if profile.crowd:
         events.append({"at_s": 3.0, "what": "crowd", "len_s": length_s / 2, "count": CROWD_SOCKETS})
     told: dict[str, Any] = {
         "name": f"soak-{seed}",
@@ -43,11 +56,11 @@
         "load": _load(rng, destinations, profile),
         "relays": {
             "count": count, "slots_room": rng.uniform(2.0, 6.0), "hold_s": rng.uniform(6.0, 12.0),
-            "sockets": CROWD_SOCKETS if profile == "crowd" else 384,
+            "sockets": CROWD_SOCKETS if profile.crowd else 384,
         },
         "partners": {
             "destinations": destinations,
-            "endpoints": rng.choice(([2, 2], [1, 3]) if profile == "together" else ([1, 1], [1, 2], [1, 4])),
+            "endpoints": rng.choice(profile.endpoints),
             "cold_from": rng.choice(([0.2, 0.3], [0.27, 0.38])),
         },
         "clients": {"retries": rng.randint(0, 3), "honour": rng.uniform(0.3, 1.0)},
@@ -60,10 +73,9 @@
 
 
 def _load(rng: random.Random, destinations: int, profile: Profile) -> dict[str, Any]:
-    """Four to nine messages a second for each destination: few enough for a cold one to notice each."""
-    each_per_s = rng.uniform(6.0, 8.0) if profile == "together" else rng.uniform(4.0, 9.0)
+    """How much comes, in clumps or not, and how it is spread over destinations and relays."""
     return {
-        "rate_per_s": destinations * each_per_s,
+        "rate_per_s": destinations * rng.uniform(*profile.each_per_s),
         "clumps": rng.choice((0.0, 0.1, 0.3)),
         "clump_size": rng.choice((2, 4, 8)),
         "skew": rng.uniform(0.1, 0.8),
@@ -92,7 +104,7 @@
     low = rng.uniform(0.7, 1.1)
     headroom = [low, low + rng.uniform(0.2, 0.8)]
     tells_wait = 0.3
-    if profile == "together":
+    if profile.together:
         headroom, tells_wait = [0.8, 1.1], rng.choice((0.8, 1.0))
     return [
         {
@@ -118,9 +130,9 @@
     return found
 
 
-def _outages_together(rng: random.Random, length_s: float) -> list[dict[str, Any]]:
+def _outages_together(rng: random.Random, destinations: int, length_s: float) -> list[dict[str, Any]]:
     """Whole destinations that are out at one time and return at one time, twice; most of them name it."""
-    dests = rng.sample(range(TOGETHER_DESTINATIONS), 9)
+    dests = rng.sample(range(destinations), 9)
     second_s = length_s / 2 + rng.uniform(0, 2)
     found = list[dict[str, Any]]()
     for at_s, struck in ((FIRST_S, dests[:5]), (second_s, dests[5:])):
--- a/mallowlug/rig/soak/run.py
+++ b/mallowlug/rig/soak/run.py
@@ -44,13 +44,17 @@
         return self.state == "broken" or bool(self.crashes)
 
     def __str__(self) -> str:
-        rules = Counter(breach.rule for breach in self.breaches)
-        told = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "no breach"
+        told = counted(Counter(breach.rule for breach in self.breaches)) or "no breach"
         crashes = f", {len(self.crashes)} crashes" if self.crashes else ""
         figures = f"served {self.served:.3f}, {self.returns} returns"
         return f"seed {self.seed}: {self.state}, {told}{crashes}; {figures}"
 
 
+def counted(rules: Counter[str]) -> str:
+    """Broken rules with their counts, in a line; empty for none."""
+    return ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items()))
+
+
 def check_size(relays: int) -> None:
     """``SoakError`` where so many relays would be too many for this machine."""
     memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -136,9 +136,8 @@
         self.look: dict[int, None] = {}  # destinations that an event or a due time touched
         self.due: list[tuple[int, int]] = []  # heap: when to look at a destination again
         self.ends: list[tuple[int, int, Message]] = []  # heap: when to answer a held message
-        self.found: list[
-            tuple[int, int]
-        ] = []  # heap: when a message that a restart found earns credit, and where
+        # Heap: when a message that a restart found earns credit, and at which destination.
+        self.found: list[tuple[int, int]] = []
 
     def _change(self, settings: Settings) -> None:
         """Go by these settings; what came under others, and what was learned, stays as it is."""
@@ -441,12 +440,10 @@
 
     def _credit(self, dest: Destination, ready: list[Endpoint], *, found: bool = False) -> None:
         """A message came, or has been found: endpoints that may be down or cold earn their share of it."""
-        limited = list[Guard]()
-        for endpoint in ready:
-            for guard in endpoint.guards:
-                if guard.slow.phase is not Phase.HEALTHY and guard not in limited:
-                    limited.append(guard)
-        for guard in limited:
+        guards = {id(guard): guard for endpoint in ready for guard in endpoint.guards}  # a shared one once
+        for guard in guards.values():
+            if guard.slow.phase is Phase.HEALTHY:
+                continue
             share = 1.0 if guard is dest.limit else 1 / len(ready)
             load = self._load(dest, guard)
             if found:  # the traffic before the restart is not known: as if all senders had met the outage
@@ -611,8 +608,9 @@
         if verdict is not Verdict.FULL:
             endpoint.records[name].bad.add(failed, self.now)
         if failed:
-            self._fail(endpoint, call, message, event)
-            self._follow_up(endpoint, endpoint.limit if verdict is Verdict.FULL else endpoint.own, event)
+            guard = endpoint.limit if verdict is Verdict.FULL else endpoint.own
+            self._fail(endpoint, guard, call, message, event)
+            self._follow_up(endpoint, guard, event)
             return
         for guard in endpoint.guards:
             if guard.strikes:
@@ -651,10 +649,9 @@
                 return True
         return False
 
-    def _fail(self, endpoint: Endpoint, call: Call, message: Message, event: Outcome) -> None:
+    def _fail(self, endpoint: Endpoint, guard: Guard, call: Call, message: Message, event: Outcome) -> None:
         """A strike, a pause before the next trial, and what it says of an outage."""
         verdict, refused = event.verdict, event.verdict is Verdict.FULL
-        guard = endpoint.limit if refused else endpoint.own
         beside = self.now - guard.ok_us < RECENT_US
         if not refused or not self._limit_used_up(guard, event) or guard.strikes >= LIMIT_STRIKES:
             self._suspect_outage(endpoint, guard, call, message, event)
@@ -693,20 +690,20 @@
         self, endpoint: Endpoint, guard: Guard, call: Call, message: Message, event: Outcome
     ) -> None:
         """Tell the slow start of a failure, and a later life where it may be an outage."""
-        refused, slow = event.verdict is Verdict.FULL, guard.slow
-        failing = not refused and endpoint.ratio.share(self.now) > OUTAGE_MARK
+        slow, hung = guard.slow, _hung(event)
+        failing = event.verdict is not Verdict.FULL and endpoint.ratio.share(self.now) > OUTAGE_MARK
         load = self._load(self.dests[endpoint.dest], guard)
         change = slow.failed(
             self.now, call.sent_us, self.budget, load, self.rng.random(), reason=_reason(event),
-            outage=failing or event.wait_us > SHUT_US, hung=_hung(event),
+            outage=failing or event.wait_us > SHUT_US, hung=hung,
         )  # fmt: skip
         self._report(endpoint, change, message)
         if event.verdict is Verdict.ERROR:
             slow.refund(self.now, self.budget, load)
-        if slow.phase is not Phase.DOWN and not _hung(event):
+        if slow.phase is not Phase.DOWN and not hung:
             return
         # Endpoints of a destination mostly fail together.
-        confirms = not _hung(event) and event.elapsed_us <= RECENT_US
+        confirms = not hung and event.elapsed_us <= RECENT_US
         for sibling in self.dests[endpoint.dest].ready():
             if sibling is not endpoint:
                 self._doubt(sibling, f"{endpoint.host} failed", confirms=confirms)
@@ -943,13 +940,8 @@
         """Whether one more call to the endpoint is within slots, cap, quota, wait, pace and suspicion."""
         if self.calls_out >= self.set.slots or len(endpoint.calls) >= max(1, int(endpoint.quota)):
             return False
-        for guard in endpoint.guards:
-            if self.now < guard.wait_us or self.now < guard.next_us:
-                return False
-            if guard.slow.phase is not Phase.HEALTHY and self.now < endpoint.slow.call_us(
-                self.now, self.budget
-            ):
-                return False
+        if self.now < endpoint.clear_us(self.now, self.budget):
+            return False
         others = dest.endpoints.values()
         if self._suspect(endpoint) or (self._ill(endpoint) and any(e.calls for e in others if self._ill(e))):
             return False
@@ -986,14 +978,14 @@
             self.made.append(call)
             self.calls_out += 1
             limit = endpoint.limit
-            limited = limit.slow.phase is not Phase.HEALTHY and limit.slow.limited(self.now)
-            if not limited and (pace := self._pace(limit)) < math.inf:  # else credit is the pace
+            if (
+                not limit.slow.limited(self.now) and (pace := self._pace(limit)) < math.inf
+            ):  # else credit is the pace
                 gap_us = int(1e6 / pace * self.rng.uniform(0.5, 1.5))  # not back together
                 limit.next_us = max(limit.next_us, self.now - BURST_US) + gap_us
         first = call.messages == 0
-        for guard in endpoint.guards:  # what travels with others weighs a part of a call
-            if guard.slow.phase is not Phase.HEALTHY and guard.slow is endpoint.slow:
-                guard.slow.charge(self.now, self.budget, 1.0 if first else FURTHER, first=first)
+        # What travels with others weighs a part of a call.
+        endpoint.slow.charge(self.now, self.budget, 1.0 if first else FURTHER, first=first)
         self._unhold(message)  # before its tries and what they may have done say another lane
         message.first = False
         call.messages, call.open = call.messages + 1, call.open + 1
--- a/mossfront/call_credit.py
+++ b/mossfront/call_credit.py
@@ -6,9 +6,8 @@
 Senders that share nothing still share moments: a named opening time ends, calls that hung break, a list or
 a restart reaches all of them. If whole calls were kept while none can be made, every sender would hold one
 at such a moment, and all would make it at once, however slowly each had earned it. As it is, all senders
-together hold at any moment what they earn in ``lapse_us``: a tenth of a cold endpoint's budget, whatever
-their number.
-Fractions release nothing: drawn at random to begin with, they stay evenly spread over the senders.
+together hold at any moment what they earn in that time: a tenth of a cold endpoint's budget, whatever their
+number. Fractions release nothing: drawn at random to begin with, they stay evenly spread over the senders.
 """
 
 from __future__ import annotations
@@ -21,14 +20,13 @@
 class CallCredit:
     """The credit of one sender at one endpoint.
 
-    ``unit_us`` is the time in which a call is earned without any message, ``lapse_us`` the time for which a
-    whole call is kept.
+    ``unit_us`` is the time in which a call is earned without any message.
     """
 
-    __slots__ = ("_counted_us", "_fraction", "_lapse_at_us", "_paused_until_us", "lapse_us")
+    __slots__ = ("_counted_us", "_fraction", "_lapse_at_us", "_lapse_us", "_paused_until_us")
 
     def __init__(self) -> None:
-        self.lapse_us = 0
+        self._lapse_us = 0  # for so long a whole call is kept
         self._fraction = 0.0  # of a call; below 0 where a call weighed more than the credit for it
         self._counted_us = 0  # until when time has been credited
         self._paused_until_us = 0
@@ -36,7 +34,7 @@
 
     def begin(self, now_us: int, fraction: float, fall_us: int) -> None:
         """Forget what was earned; ``fraction`` is drawn at random by the caller."""
-        self.lapse_us = int(LAPSE_PART * fall_us)
+        self._lapse_us = int(LAPSE_PART * fall_us)
         self._fraction, self._counted_us, self._paused_until_us = fraction, now_us, 0
         self._lapse_at_us.clear()
         self._add_whole(now_us, one=True)
@@ -95,4 +93,4 @@
 
     def _add_lapsing(self, earned_us: int, *, one: bool) -> None:
         if not (one and self._lapse_at_us):
-            self._lapse_at_us.append(max(earned_us, self._paused_until_us) + self.lapse_us)
+            self._lapse_at_us.append(max(earned_us, self._paused_until_us) + self._lapse_us)
--- a/mossfront/slow_start.py
+++ b/mossfront/slow_start.py
@@ -173,7 +173,7 @@
             return None
         self._doubted = False
         if self.phase is not Phase.SUSPECT:
-            self.failed_us, self._confirming, self._confirm_by_us = now_us, False, NEVER_US
+            self._suspicion_begins(now_us)
             if self.phase is Phase.HEALTHY:
                 self.served_share = load.served_share
                 # The message that failed has had its first call; what it may earn beyond that is a retry.
@@ -239,7 +239,7 @@
         """
         if self.phase is not Phase.HEALTHY or self._recent(now_us):
             return None
-        self.failed_us, self._confirming, self._confirm_by_us = now_us, False, NEVER_US
+        self._suspicion_begins(now_us)
         self.served_share, self._doubted = load.served_share, True
         self._credit.begin(now_us, drawn, budget.fall_us)
         return self._enter(Phase.SUSPECT, reason)
@@ -297,6 +297,10 @@
             per_s = min(per_s, MOST_PARTS * load.limit_per_s / budget.senders)
         return budget.credit_per_message(self._cold_for_us(now_us)) * per_s * budget.fall_us / 1e6
 
+    def _suspicion_begins(self, now_us: int) -> None:
+        """From now on something may be wrong, and no call has been allowed to tell."""
+        self.failed_us, self._confirming, self._confirm_by_us = now_us, False, NEVER_US
+
     def _recent(self, now_us: int) -> bool:
         return now_us - self.ok_us <= RECENT_US
 
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -116,12 +116,11 @@
 
     def clear_us(self, now_us: int, budget: Budget) -> int:
         """When nothing here holds back a call any more, if no new message comes."""
-        clear_us = NEVER_US
+        clear_us, limited = NEVER_US, False
         for guard in self.guards:
             clear_us = max(clear_us, guard.wait_us, guard.next_us)
-            if guard.slow.phase is not Phase.HEALTHY:
-                clear_us = max(clear_us, self.slow.call_us(now_us, budget))
-        return clear_us
+            limited = limited or guard.slow.phase is not Phase.HEALTHY
+        return max(clear_us, self.slow.call_us(now_us, budget)) if limited else clear_us
 
     def follow(self, listing: Listing, now_us: int) -> None:
         """Follow the directory."""
--- a/tests/slow_start/outages.py
+++ b/tests/slow_start/outages.py
@@ -81,9 +81,7 @@
     struck: int = 1  # endpoints that are out: the first ones
     stagger_s: float = 0.0  # each further one returns so much later than the one before it
     wait_told: float = WAIT_TOLD  # share of refusals that name a wait
-    stopped_s: float = (
-        0.0  # all relays stand still for so long, from the middle of it before the first return
-    )
+    stopped_s: float = 0.0  # all relays stand still for so long, half of it before the first return
     relisted: bool = False  # the list drops the endpoints in the outage, and names them again at its end
 
     def outages(self, endpoint: int = 0) -> list[tuple[int, int]]:
--- a/tests/slow_start/test_decisions.py
+++ b/tests/slow_start/test_decisions.py
@@ -53,20 +53,17 @@
     assert not any(relay.endpoints[host].own.slow._free(3 * SECOND) for host in ("h1", "h2"))
 
 
-def test_an_endpoint_that_is_listed_again_is_doubted() -> None:
-    relay = relay_with("h1")
-    for at_s, listing in ((5, api.Listing.GONE), (9, api.Listing.READY)):
-        changed = roster(entry("h1", kind=SPLIT, listing=listing), kind=api.RosterKind.CHANGES)
-        relay.step(at_s * SECOND, [changed])
-    assert phase(relay, "h1") is Phase.SUSPECT
-
-
-def test_an_endpoint_whose_listing_only_drains_and_is_ready_again_is_not() -> None:
+@pytest.mark.parametrize(
+    ("meanwhile", "after"), [(api.Listing.GONE, Phase.SUSPECT), (api.Listing.DRAINING, Phase.HEALTHY)]
+)
+def test_an_endpoint_that_was_gone_from_the_list_is_doubted_and_one_that_drained_is_not(
+    meanwhile: api.Listing, after: Phase
+) -> None:
     relay = relay_with("h1")
-    for at_s, listing in ((5, api.Listing.DRAINING), (9, api.Listing.READY)):
+    for at_s, listing in ((5, meanwhile), (9, api.Listing.READY)):
         changed = roster(entry("h1", kind=SPLIT, listing=listing), kind=api.RosterKind.CHANGES)
         relay.step(at_s * SECOND, [changed])
-    assert phase(relay, "h1") is Phase.HEALTHY
+    assert phase(relay, "h1") is after
 
 
 @pytest.mark.parametrize(
