Red tests: batches on one call's credit, and told waits that free a call for all

Traces of the windows show two defects: a call of up to 1.8 is made on the credit of 1, by every relay behind the same moment; and a told wait of under 1.5 s whose refusal reports an unused limit frees a confirming call, for all at its end.

--- a/tests/slow_start/moments.py
+++ b/tests/slow_start/moments.py
@@ -92,10 +92,34 @@
     return replace(_plain(seed, relays), load=random.Random(seed).uniform(1.2, 1.6))
 
 
+def shut_near_capacity(seed: int, relays: int) -> Draw:
+    """Two endpoints shut together, most refusals naming the opening, at a load near what they bear."""
+    rng = random.Random(f"near {seed}")
+    return Draw(
+        seed=seed,
+        relays=relays,
+        endpoints=2,
+        struck=2,
+        kind=rng.choice(("lot", "lot", "bank")),
+        capacity_per_s=rng.uniform(2, 5),
+        load=1 / rng.uniform(0.8, 1.1),
+        failure=Failure.SHUT,
+        start_s=4.0,
+        length_s=9.5,
+        weights=(0.5, 1.5),
+        errors=0.005,
+    )
+
+
+def shut_batches(seed: int, relays: int) -> Draw:
+    """The same at endpoints whose calls carry several messages."""
+    return replace(shut_near_capacity(seed, relays), kind="bank")
+
+
 MOMENTS: dict[str, Kind] = {
     kind.__name__: kind
     for kind in (
         told_wait, long_told_wait, told_at_a_limit, hung_calls, staggered, restarted, restarted_from_silence,
-        restarted_late, stopped, relisted, clumped, overloaded,
+        restarted_late, stopped, relisted, clumped, overloaded, shut_near_capacity, shut_batches,
     )
 }  # fmt: skip
--- a/tests/slow_start/test_decisions.py
+++ b/tests/slow_start/test_decisions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from mossfront import Relay
@@ -13,9 +15,9 @@
 GROUP = settings(group_size=50, slots=8)
 
 
-def relay_with(*hosts: str) -> Relay:
-    """A relay of a group of fifty that knows these endpoints of one destination."""
-    relay = Relay(GROUP, 1)
+def relay_with(*hosts: str, group: api.Settings = GROUP) -> Relay:
+    """A relay of a group (of fifty) that knows these endpoints of one destination."""
+    relay = Relay(group, 1)
     relay.step(0, [roster(*(entry(host, kind=SPLIT) for host in hosts))])
     return relay
 
@@ -53,6 +55,30 @@
     assert not any(relay.endpoints[host].own.slow._free(3 * SECOND) for host in ("h1", "h2"))
 
 
+def frees_a_call(left: float | None) -> bool:
+    """Whether a call is free behind a told wait, where refusals report that so much of a limit is left."""
+    relay = relay_with("h1", group=settings(group_size=2, slots=8))
+    [first] = sends(relay.step(SECOND, [arrival("m1", SAFE)]))
+    relay.step(SECOND + 1000, [replace(ended(first, took_us=1000), limit_left=1.0, limit_per_s=4.0)])
+    for at_us in (9 * SECOND, 15 * SECOND):  # of a limit that is used up the first refusal says nothing
+        [send] = sends(relay.step(at_us, [arrival(f"m{at_us}", SAFE)]))
+        refusal = ended(send, api.Verdict.FULL, took_us=1000, wait_us=SECOND)
+        relay.step(at_us + 1000, [replace(refusal, limit_left=left, limit_per_s=4.0)])
+        if phase(relay, "h1") is not Phase.HEALTHY:
+            break
+    assert phase(relay, "h1") is Phase.SUSPECT
+    return relay.endpoints["h1"].own.slow._free(at_us + 1000 + SECOND)
+
+
+def test_a_told_wait_frees_no_call_where_no_limit_is_reported_as_used_up() -> None:
+    """A shut endpoint names one time to all senders: calls that confirm would all be made then."""
+    assert not frees_a_call(left=None) and not frees_a_call(left=1.0)
+
+
+def test_a_call_may_confirm_behind_the_wait_of_a_limit_that_is_used_up() -> None:
+    assert frees_a_call(left=0.0)
+
+
 @pytest.mark.parametrize(
     ("meanwhile", "after"), [(api.Listing.GONE, Phase.SUSPECT), (api.Listing.DRAINING, Phase.HEALTHY)]
 )
