Slow start: batches need credit for their weight; told waits confirm nothing; less by time

A whole call had the credit of one message, though it may weigh 1.8: while a told wait lets whole calls lapse, one is lost for each, and behind it every relay makes one of 1.8. A wait whose refusal reports an unused limit freed a confirming call at its end. And time earned the group a call in each fall beside what messages earn, a fifth of the budget of a small endpoint.

Change: an endpoint whose calls carry several messages needs 1.4 for a call, and what a call does not weigh is given back; a told wait frees a call only where a limit is reported as used up; time alone earns the group one call in three falls.

--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -726,8 +726,8 @@
             left_us = max(0, guard.wait_us - self.now)
             self._care(endpoint, left_us + CARE_US, CareKind.OUTAGE if known else CareKind.SUSPICION)
         pause_us = max(0, guard.pause_us - self.now)
-        # Where no limit is told, a wait is most likely an outage's, and ends for all senders in one moment.
-        common = _hung(event) or (event.wait_us > 0 and not guard.rate)
+        # Unless a limit is reported as used up, a wait may be an outage's, which ends for all in one moment.
+        common = _hung(event) or (event.wait_us > 0 and not self._limit_used_up(guard, event))
         # Behind more than that an outage might have passed meanwhile.
         if not common and max(pause_us, event.elapsed_us) <= RECENT_US:
             guard.slow.confirm_by(self.now + pause_us + CONFIRM_US)
--- a/mossfront/call_credit.py
+++ b/mossfront/call_credit.py
@@ -20,21 +20,33 @@
 class CallCredit:
     """The credit of one sender at one endpoint.
 
-    ``unit_us`` is the time in which a call is earned without any message.
+    ``unit_us`` is the time in which a call of weight 1 is earned without any message.
+
+    Where a call may carry several messages, a whole one has the credit for what it weighs on average; the
+    difference is given back or owed. If it were made on the credit of one message, the first calls of all
+    senders behind a common moment would together weigh more than was earned.
     """
 
-    __slots__ = ("_counted_us", "_fraction", "_lapse_at_us", "_lapse_us", "_paused_until_us")
+    __slots__ = (
+        "_call_weight",
+        "_counted_us",
+        "_fraction",
+        "_lapse_at_us",
+        "_lapse_us",
+        "_paused_until_us",
+    )
 
     def __init__(self) -> None:
         self._lapse_us = 0  # for so long a whole call is kept
+        self._call_weight = 1.0  # of which a whole call has the credit
         self._fraction = 0.0  # of a call; below 0 where a call weighed more than the credit for it
         self._counted_us = 0  # until when time has been credited
         self._paused_until_us = 0
         self._lapse_at_us: deque[int] = deque()  # of each whole call
 
-    def begin(self, now_us: int, fraction: float, fall_us: int) -> None:
-        """Forget what was earned; ``fraction`` is drawn at random by the caller."""
-        self._lapse_us = int(LAPSE_PART * fall_us)
+    def begin(self, now_us: int, fraction: float, fall_us: int, call_weight: float = 1.0) -> None:
+        """Forget what was earned; ``fraction`` of such a call is drawn at random by the caller."""
+        self._lapse_us, self._call_weight = int(LAPSE_PART * fall_us), call_weight
         self._fraction, self._counted_us, self._paused_until_us = fraction, now_us, 0
         self._lapse_at_us.clear()
         self._add_whole(now_us, one=True)
@@ -47,9 +59,9 @@
         self._paused_until_us = until_us
 
     def earn(self, now_us: int, calls: float, unit_us: int, *, one: bool) -> None:
-        """So many calls, or such a part of one, are earned just now. ``one``: no more than one is kept."""
+        """So many calls of weight 1, or a part of one, are earned just now. ``one``: one at most is kept."""
         self._advance(now_us, unit_us)
-        self._fraction += calls
+        self._fraction += calls / self._call_weight
         self._add_whole(now_us, one=one)
 
     def give_back(self, now_us: int, part: float, unit_us: int) -> None:
@@ -60,28 +72,29 @@
             self._add_whole(now_us, one=True)
 
     def spend(self, now_us: int, weight: float, unit_us: int) -> None:
-        """A call of this weight is made; what it weighs beyond a whole call is owed."""
+        """A call of this weight is made, or so much is added to it (below 1); what it lacks is owed."""
         self._advance(now_us, unit_us)
         if weight >= 1 and self._lapse_at_us:
             self._lapse_at_us.popleft()
-            weight -= 1
-        self._fraction -= weight
+            weight -= self._call_weight
+        self._fraction -= weight / self._call_weight
 
     def next_call_us(self, now_us: int, unit_us: int) -> int:
         """When a call may be made if nothing more is earned but by time: now, or later."""
         self._advance(now_us, unit_us)
         if self._lapse_at_us:
             return now_us
-        return now_us + max(1, int((1 - self._fraction) * unit_us))
+        return now_us + max(1, int((1 - self._fraction) * unit_us * self._call_weight))
 
     def _advance(self, now_us: int, unit_us: int) -> None:
         """Credit the time that has passed, and let lapse what has not been used."""
         if now_us > self._counted_us:
-            self._fraction += (now_us - self._counted_us) / unit_us
+            call_us = unit_us * self._call_weight
+            self._fraction += (now_us - self._counted_us) / call_us
             self._counted_us = now_us
             if self._fraction >= 1:  # of many calls that time earned, the last one alone may not have lapsed
                 self._fraction %= 1
-                self._add_lapsing(now_us - int(self._fraction * unit_us), one=True)
+                self._add_lapsing(now_us - int(self._fraction * call_us), one=True)
         while self._lapse_at_us and self._lapse_at_us[0] < now_us:
             self._lapse_at_us.popleft()
 
--- a/mossfront/slow_start.py
+++ b/mossfront/slow_start.py
@@ -36,6 +36,8 @@
 REFUNDED_TO_ALL = 3.0  # calls that all senders together get back at once, whatever their parts
 MOST_PARTS = 2.0  # equal parts of a told limit that one sender's messages are taken for at most
 SMALL_BATCH = 1.8  # weight of a call that any sender may make
+SMALL_BATCH_CREDIT = 1.4  # that such a call needs: about what they weigh on average
+FALLS_FOR_A_CALL = 3  # times of a fall in which the whole group earns a call without any message
 LEAST_NOTIFIED = 0.1  # no smaller part is believed, however little a sender calls
 USUAL_OUTAGE_US = 10_000_000  # us: how long an outage lasts, as long as nothing else is known
 NEVER_US = -(1 << 60)
@@ -81,8 +83,8 @@
 
     @property
     def unit_us(self) -> int:
-        """Time in which one sender earns a call without any message: the whole group one in ``fall_us``."""
-        return self.fall_us * self.senders
+        """Time in which one sender earns a call without any message."""
+        return FALLS_FOR_A_CALL * self.fall_us * self.senders
 
     def credit_per_message(self, cold_for_us: int) -> float:
         """Calls that a new message earns while the endpoint has been back for so long (0: not yet back)."""
@@ -104,6 +106,7 @@
         "_credit",
         "_doubted",
         "_refunded",
+        "batched",
         "cold_us",
         "failed_us",
         "ok_us",
@@ -116,6 +119,7 @@
         self.failed_us = NEVER_US  # when the first failure of this suspicion was known
         self.ok_us = NEVER_US  # the last success
         self.cold_us = -1  # when the endpoint was found to be back; -1: it is not in slow start
+        self.batched = False  # whether a call may carry several messages
         self._credit = CallCredit()
         self._confirm_by_us = NEVER_US
         self._confirming = False
@@ -178,7 +182,8 @@
                 self.served_share = load.served_share
                 # The message that failed has had its first call; what it may earn beyond that is a retry.
                 retries = 0.0 if hung else max(0.0, self._calls_per_message(now_us, budget, load) - 1)
-                self._credit.begin(now_us, drawn + retries, budget.fall_us)
+                call_weight = self._credit_for_call(now_us, budget, load)
+                self._credit.begin(now_us, drawn + retries / call_weight, budget.fall_us, call_weight)
                 self._refunded = 0.0
             if not outage:
                 return self._enter(Phase.SUSPECT, reason)
@@ -241,7 +246,7 @@
             return None
         self._suspicion_begins(now_us)
         self.served_share, self._doubted = load.served_share, True
-        self._credit.begin(now_us, drawn, budget.fall_us)
+        self._credit.begin(now_us, drawn, budget.fall_us, self._credit_for_call(now_us, budget, load))
         return self._enter(Phase.SUSPECT, reason)
 
     def restore(
@@ -260,7 +265,7 @@
         """
         self.cold_us, self.failed_us, self.served_share = -1, now_us, served_share
         self._doubted = False
-        self._credit.begin(now_us, drawn, budget.fall_us)
+        self._credit.begin(now_us, drawn, budget.fall_us, self._small_batch_credit)
         if phase is Phase.SLOW_START:
             self.cold_us = now_us - cold_for_us
         return self._enter(phase, "known from before the restart")
@@ -269,12 +274,14 @@
         """Go on from where the process before this one, which has handed over, stood in a slow start."""
         self.phase, self.ok_us = Phase.SLOW_START, now_us
         self.cold_us = max(0, now_us - cold_for_us)
-        self._credit.begin(now_us, 1 - credit_in_us / budget.unit_us, budget.fall_us)
+        call_weight = self._small_batch_credit
+        fraction = 1 - credit_in_us / (budget.unit_us * call_weight)
+        self._credit.begin(now_us, fraction, budget.fall_us, call_weight)
 
     def returned(self, now_us: int, budget: Budget, drawn: float) -> None:
         """The endpoint is known to be a new process: it is cold from now."""
         self.phase, self.cold_us = Phase.SLOW_START, now_us
-        self._credit.begin(now_us, drawn, budget.fall_us)
+        self._credit.begin(now_us, drawn, budget.fall_us, self._small_batch_credit)
 
     def credit_in_us(self, now_us: int, budget: Budget) -> int:
         """How long until a call is earned, if no message comes."""
@@ -297,6 +304,20 @@
             per_s = min(per_s, MOST_PARTS * load.limit_per_s / budget.senders)
         return budget.credit_per_message(self._cold_for_us(now_us)) * per_s * budget.fall_us / 1e6
 
+    @property
+    def _small_batch_credit(self) -> float:
+        """The credit for a call of a sender whose part of the budget is small or unknown."""
+        return SMALL_BATCH_CREDIT if self.batched else 1.0
+
+    def _credit_for_call(self, now_us: int, budget: Budget, load: Load) -> float:
+        """The credit that a call needs.
+
+        A sender whose part is larger than a small batch makes about one call in the time of a fall, and may
+        owe for it what is beyond one message.
+        """
+        large = self._calls_in_a_fall(now_us, budget, load) >= SMALL_BATCH
+        return 1.0 if large else self._small_batch_credit
+
     def _suspicion_begins(self, now_us: int) -> None:
         """From now on something may be wrong, and no call has been allowed to tell."""
         self.failed_us, self._confirming, self._confirm_by_us = now_us, False, NEVER_US
--- a/mossfront/state.py
+++ b/mossfront/state.py
@@ -100,6 +100,8 @@
         self.listing, self.ratio, self.own, self.out = entry.listing, ratio, own, False  # out: by hand
         self.limit = own if kind.apart else shared
         self.guards = (own,) if kind.apart else (own, shared)
+        for guard in self.guards:
+            guard.slow.batched = kind.batch > 1
         self.calls: list[Call] = []
         self.records: dict[str, Record] = {}
         self.quota, self.start = 0.0, 0.0  # calls in flight allowed now, and at most
--- a/tests/slow_start/test_call_credit.py
+++ b/tests/slow_start/test_call_credit.py
@@ -14,10 +14,10 @@
 LAPSE_US = int(LAPSE_PART * FALL_US)
 
 
-def credit_of(fraction: float) -> CallCredit:
+def credit_of(fraction: float, call_weight: float = 1.0) -> CallCredit:
     """Credit that begins with that part of a call."""
     credit = CallCredit()
-    credit.begin(0, fraction, FALL_US)
+    credit.begin(0, fraction, FALL_US, call_weight)
     return credit
 
 
@@ -68,6 +68,33 @@
     assert ready(credit, 0)
 
 
+def test_a_call_of_several_messages_needs_credit_for_its_weight_and_gives_back_the_rest() -> None:
+    credit = credit_of(0.0, call_weight=1.5)
+    credit.earn(0, 1.4, UNIT_US, one=True)
+    assert not ready(credit, 0)
+    credit.earn(0, 0.2, UNIT_US, one=True)
+    assert ready(credit, 0)
+    credit.spend(0, 1.0, UNIT_US)
+    credit.earn(0, 0.8, UNIT_US, one=True)
+    assert not ready(credit, 0)
+    credit.earn(0, 0.2, UNIT_US, one=True)
+    assert ready(credit, 0)
+
+
+@pytest.mark.parametrize("call_weight", [1.0, 1.4])
+def test_senders_that_were_held_back_make_calls_whose_sum_was_earned(call_weight: float) -> None:
+    """Whole calls lapse while none can be made; behind that moment as many are made as are earned."""
+    rng, made, senders, messages = random.Random(7), 0.0, 400, 40
+    for _ in range(senders):
+        credit = credit_of(rng.random(), call_weight)
+        for second in range(1, messages + 1):
+            credit.earn(second * SECOND, 0.1, 1000 * UNIT_US, one=True)
+            if second > messages // 2 and ready(credit, second * SECOND):
+                credit.spend(second * SECOND, call_weight, 1000 * UNIT_US)
+                made += call_weight
+    assert made == pytest.approx(senders * messages // 2 * 0.1, rel=0.05)
+
+
 def test_one_call_at_most_is_kept_where_that_is_asked_for() -> None:
     one, many = credit_of(0.0), credit_of(0.0)
     for credit, only in ((one, True), (many, False)):
