Slow start: a small group earns a call by time in each fall, a large one in three

Change: up to four relays earn one call in the time of a fall, twelve and more one in three, between them in proportion. In a large group a relay's own part of that time is far beyond a message's time anyway.

--- a/mossfront/slow_start.py
+++ b/mossfront/slow_start.py
@@ -37,7 +37,8 @@
 MOST_PARTS = 2.0  # equal parts of a told limit that one sender's messages are taken for at most
 SMALL_BATCH = 1.8  # weight of a call that any sender may make
 SMALL_BATCH_CREDIT = 1.4  # that such a call needs: about what they weigh on average
-FALLS_FOR_A_CALL = 3  # times of a fall in which the whole group earns a call without any message
+FEW_SENDERS = 4  # whose group earns a call by time alone in each time of a fall
+MOST_FALLS = 3.0  # times of a fall in which any other group earns one at least
 LEAST_NOTIFIED = 0.1  # no smaller part is believed, however little a sender calls
 USUAL_OUTAGE_US = 10_000_000  # us: how long an outage lasts, as long as nothing else is known
 NEVER_US = -(1 << 60)
@@ -83,8 +84,13 @@
 
     @property
     def unit_us(self) -> int:
-        """Time in which one sender earns a call without any message."""
-        return FALLS_FOR_A_CALL * self.fall_us * self.senders
+        """Time in which one sender earns a call without any message.
+
+        In a small group it is short enough for a message that is held to be tried. In a large one it is not,
+        and what all earn by time only adds to what messages earn: there it is to be little.
+        """
+        falls = min(MOST_FALLS, max(1.0, self.senders / FEW_SENDERS))
+        return int(falls * self.fall_us * self.senders)
 
     def credit_per_message(self, cold_for_us: int) -> float:
         """Calls that a new message earns while the endpoint has been back for so long (0: not yet back)."""
