Reasons for every close, retry and refusal: figures by reason, lines in the log, phases

Change: mallowlug/core/reasons.py counts closes of clients' and hosts' connections, retries (by how the attempt before ended) and refusals at the door or later, and tells the log every ten seconds what is new; at level debug each has a line with the message's id and the host. The policy gives each final answer its reason (GiveUp). The console shows them, and hosts by phase.

--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -20,6 +20,7 @@
 from mallowlug.core.model import HostList
 from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Intake, Plugs
+from mallowlug.core.reasons import Reasons
 from mallowlug.core.relay import Driver
 from mallowlug.core.staff_room import staff_room
 from mallowlug.directory.discovery import FIRST_S, Watch
@@ -44,7 +45,9 @@
 OWED_S = 0.1  # s between attempts to write down what the disk did not take
 
 
-def fronts_of(cfg: config.Config, extras: config.Extras, core: Intake, system: System) -> list[Server]:
+def fronts_of(
+    cfg: config.Config, extras: config.Extras, core: Intake, system: System, reasons: Reasons
+) -> list[Server]:
     """The platform's front, then the operator's; all share one half of the descriptors."""
     shares = shares_in(cfg, extras)
     left = shares.clients - sum(plan.connections for plan in extras.fronts)
@@ -53,7 +56,9 @@
     plans = [(cfg.listen, left), *((plan.listen, plan.connections) for plan in extras.fronts)]
     shared = cfg.console is not None  # by it staff learn when a process that starts beside this one is ready
     burst = max(1, shares.burst // len(plans))
-    return [Server(core, address, most, system, shared, burst=burst) for address, most in plans]
+    return [
+        Server(core, address, most, system, shared, burst=burst, reasons=reasons) for address, most in plans
+    ]
 
 
 def shares_in(cfg: config.Config, extras: config.Extras) -> Shares:
@@ -65,7 +70,7 @@
     return shares
 
 
-def plugs_of(cfg: config.Config, seq: int, system: System, calls: int) -> Plugs:
+def plugs_of(cfg: config.Config, seq: int, system: System, calls: int, reasons: Reasons) -> Plugs:
     """The platform's adapters, bound to what the configuration tells."""
     return Plugs(
         partners=lambda settled, released: Hosts(
@@ -77,6 +82,7 @@
             released=released,
             system=system,
             most_open=calls,
+            reasons=reasons,
         ),
         directory=lambda told, failed: Watch(
             cfg.discovery, seq, told, failed, system, most_line=cfg.memory_bytes // 8, answer_s=answer_s(cfg)
@@ -155,9 +161,11 @@
         # Until the process is gone, also while it shuts down: a signal without a handler would end it.
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         console = await self._open_console()
+        self._figures.reasons.start()
         try:
             return await self._serve()
         finally:
+            self._figures.reasons.stop()
             for front in self._fronts:
                 front.close()
             if console is not None:
@@ -227,7 +235,7 @@
 
     async def _listen(self) -> None:
         assert self._core is not None
-        self._fronts = fronts_of(self._cfg, self._extras, self._core, self._system)
+        self._fronts = fronts_of(self._cfg, self._extras, self._core, self._system, self._figures.reasons)
         for front in self._fronts:
             await front.start()
             if self._shift is not None and self._shift.followed and not front.prevail():
@@ -248,7 +256,7 @@
             settings=self._within(cfg.settings),
             seed=cfg.seed,
             journal=self._journal,
-            plugs=plugs_of(cfg, known.seq, system, self._shares.calls),
+            plugs=plugs_of(cfg, known.seq, system, self._shares.calls, self._figures.reasons),
             clock=clock_of(system, cfg.state, self._loop.time),
             listings=Listings(self._extras.awake, self._extras.rest_s),
             figures=self._figures,
--- a/mallowlug/core/figures.py
+++ b/mallowlug/core/figures.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from mallowlug.core.reasons import Event, Reasons
 
 STATES = ("answered", "deferred", "errored")
 MOST_GROUPS = 64  # classes that are told apart: settings that change all day must not grow the process
@@ -16,6 +18,11 @@
     "current": ("gauge", "Messages taken on and not ended."),
     "cluster_size": ("gauge", "Hosts in the list."),
     "cluster_unhealthy": ("gauge", "Listed hosts that are avoided now, by hand or by choice."),
+    "client_closes_total": ("counter", "Connections of clients that were closed, by reason."),
+    "host_closes_total": ("counter", "Connections to hosts that were closed, by reason."),
+    "retries_total": ("counter", "Calls of messages that had one before, by how that one ended."),
+    "refusals_total": ("counter", "Messages that were refused or given up, by reason."),
+    "host_phases": ("gauge", "Listed hosts by what the relay takes them to be."),
     "conf_loaded_total": ("counter", "Configuration files taken at SIGHUP."),
     "conf_invalid_total": ("counter", "Configuration files turned down at SIGHUP."),
 }
@@ -29,6 +36,7 @@
     current: int
     cluster_size: int
     cluster_unhealthy: int
+    phases: Mapping[str, int] = field(default_factory=dict)  # hosts by phase
 
 
 class Figures:
@@ -37,6 +45,7 @@
     def __init__(self, groups: Iterable[str]) -> None:
         self.ends: dict[tuple[str, str], int] = {}
         self.loaded, self.invalid = 0, 0
+        self.reasons = Reasons()
         self.know(groups)
 
     def know(self, groups: Iterable[str]) -> None:
@@ -65,9 +74,18 @@
             lines.append(f'relay_transactions_total{{group="{escaped(group)}",state="{state}"}} {count}')
         for name, value in plain.items():
             lines += [*head(name), f"relay_{name} {value}"]
+        for event in Event:
+            lines += labelled(f"{event.value}_total", "reason", self.reasons.total(event))
+        lines += labelled("host_phases", "phase", now.phases)
         return "\n".join(lines) + "\n"
 
 
+def labelled(name: str, label: str, counts: Mapping[str, int]) -> list[str]:
+    """A figure with one label."""
+    samples = [f'relay_{name}{{{label}="{escaped(value)}"}} {count}' for value, count in counts.items()]
+    return [*head(name), *samples]
+
+
 def head(name: str) -> list[str]:
     """The two lines ahead of a figure."""
     kind, told = HELP[name]
--- a/mallowlug/core/model.py
+++ b/mallowlug/core/model.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from mallowlug.core.reasons import DoorRefusal
 from mossfront.interface import Entry, Verdict
 
 Address = tuple[str, int]
@@ -40,6 +41,7 @@
     """Nothing was kept; handing it in again after so many milliseconds is harmless."""
 
     wait_ms: int
+    reason: DoorRefusal = field(default=DoorRefusal.ENDING, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/mallowlug/core/reasons.py
@@ -0,0 +1,108 @@
+"""Why connections were closed, calls made again and messages refused: counted by reason, told in the log.
+
+Each event is counted where it is decided. At level DEBUG it has a log line of its own, with the message's id
+or the host; at INFO one line every ten seconds says what has been counted since the last one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from enum import StrEnum
+
+LOG = logging.getLogger(__name__)
+SUMMARY_S = 10.0  # s between two lines of the log
+
+
+class Event(StrEnum):
+    """What is counted by reason; the value is a part of the figure's name."""
+
+    CLIENT_CLOSE = "client_closes"
+    HOST_CLOSE = "host_closes"
+    RETRY = "retries"
+    REFUSAL = "refusals"
+
+
+class ClientClose(StrEnum):
+    """Why a client's connection was closed."""
+
+    BY_CLIENT = "ended by the client"
+    BROKEN = "broken"
+    SILENT = "no request"
+    UNFINISHED = "a request without end"
+    ERRORS = "too many errors"
+    ENDING = "the relay ends"
+    HANDED_OVER = "handed over to another process"
+    ROOM = "its descriptor is needed"
+    LINGERED = "the client did not end its side"
+
+
+class HostClose(StrEnum):
+    """Why a connection to a host was closed."""
+
+    FAILED = "its call failed"
+    NOT_KEPT = "not kept for another call"
+    UNWANTED = "its host gets no more calls"
+    POLICY = "the next call opens a fresh one"
+    IDLE = "idle too long, or ended by the host"
+    ROOM = "its descriptor is needed"
+    ENDING = "the relay ends"
+
+
+class DoorRefusal(StrEnum):
+    """Why a request was answered without being taken on."""
+
+    UNKNOWN_CLASS = "unknown class"
+    NO_KEY = "k is missing"
+    UNKNOWN_DESTINATION = "unknown destination"
+    FULL = "too many messages are held"
+    DISK = "the journal takes nothing"
+    ENDING = "the relay ends"
+
+
+class Reasons:
+    """The counts of one process."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[tuple[Event, str]] = Counter()  # frequent events are added here by their owner
+        self._told: Counter[tuple[Event, str]] = Counter()  # as of the last line
+        self._timer: asyncio.TimerHandle | None = None
+
+    def count(self, event: Event, reason: str, *, message_id: str = "", host: str = "") -> None:
+        """One event happened."""
+        self.counts[event, reason] += 1
+        if LOG.isEnabledFor(logging.DEBUG):
+            named = {"message_id": message_id, "host": host}
+            extra = {field: value for field, value in named.items() if value}
+            LOG.debug("%s: %s %s", event.value, reason, " ".join(extra.values()), extra=extra)
+
+    def total(self, event: Event) -> dict[str, int]:
+        """How often an event happened, by reason."""
+        return {reason: count for (known, reason), count in self.counts.items() if known is event}
+
+    def start(self) -> None:
+        """Tell the log every few seconds."""
+        self._timer = asyncio.get_running_loop().call_later(SUMMARY_S, self._tell_again)
+
+    def stop(self) -> None:
+        """Tell the log what it does not know yet, and no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.tell()
+
+    def _tell_again(self) -> None:
+        self.tell()
+        self.start()
+
+    def tell(self) -> None:
+        """A line of what has been counted since the last one; none where nothing was."""
+        fresh, self._told = self.counts - self._told, self.counts.copy()
+        events = []
+        for event in Event:
+            counted = [f"{reason} {count}" for (known, reason), count in fresh.items() if known is event]
+            if counted:
+                events.append(f"{event.value}: {', '.join(sorted(counted))}")
+        if events:
+            LOG.info("%s", "; ".join(events))
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -34,6 +34,7 @@
 )
 from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Plugs
+from mallowlug.core.reasons import DoorRefusal, Event
 from mossfront import Relay as Module
 from mossfront import interface as api
 
@@ -68,6 +69,7 @@
     body: bytes
     effect: api.Effect
     attempts: int = 0
+    last_end: str = "unknown, of a former process"  # how its last attempt ended
 
 
 class Driver:
@@ -87,6 +89,7 @@
         crashed: Callable[[BaseException], None],
     ) -> None:
         self._set, self._journal, self._crashed, self._figures = settings, journal, crashed, figures
+        self._reasons = figures.reasons
         self.clock, self._now_s = clock, asyncio.get_running_loop().time
         self._module = Module(settings, seed)
         self._partners = plugs.partners(self._settled, self._released)
@@ -228,6 +231,8 @@
     def count(self, cls: str, answer: Answer) -> None:
         """What is not taken on has ended at the door."""
         self._figures.ended(cls, "deferred" if isinstance(answer, Refused) else "errored")
+        if isinstance(answer, Refused | Failed):
+            self._reasons.count(Event.REFUSAL, answer.reason)
 
     def _numbered(self, settings: api.Settings) -> dict[str, int]:
         """By class: the number of its rules in the journal; classes that are dropped keep theirs."""
@@ -294,7 +299,10 @@
     @property
     def refusal(self) -> Refused:
         """A refusal at the door, with when to come back."""
-        return Refused(self._set.max_retry_after_us // 1000)
+        return self._refused(DoorRefusal.ENDING)
+
+    def _refused(self, reason: DoorRefusal) -> Refused:
+        return Refused(self._set.max_retry_after_us // 1000, reason)
 
     def lists(self, host: str) -> bool:
         """Whether the list as it is held names an endpoint."""
@@ -313,7 +321,7 @@
         size, sent = self._listings.hosts, self.sent_before + self._partners.written
         asleep = (host for host in self._outs.hosts if host not in self._module.endpoints)
         avoided = self._module.avoided() + sum(self._listings.lists(host) for host in asleep)
-        return Now(sent, len(self._held), size, min(size, avoided))
+        return Now(sent, len(self._held), size, min(size, avoided), self._module.phases())
 
     def hand_in(self, handed: Handed, body: bytes) -> Answer:
         """Take a message on, or say why not; what is not taken on has ended here."""
@@ -329,11 +337,11 @@
         client comes again. Without any list all are known.
         """
         if (cls := self._classes.get(handed.cls) or self._dropped.get(handed.cls)) is None:
-            return Failed("unknown class")
+            return Failed(DoorRefusal.UNKNOWN_CLASS.value)
         if cls.effect is api.Effect.KEYED and not handed.key:
-            return Failed("k is missing")
+            return Failed(DoorRefusal.NO_KEY.value)
         if len(self._listings) and handed.dest not in self._listings:
-            return self.refusal
+            return self._refused(DoorRefusal.UNKNOWN_DESTINATION)
         return None
 
     def _take_on(self, handed: Handed, body: bytes) -> Answer:
@@ -344,14 +352,14 @@
         if self.knew(handed.id):
             return Taken()
         if len(self._held) >= self._set.hold_cap:
-            return self.refusal
+            return self._refused(DoorRefusal.FULL)
         try:
             fields = {name: getattr(handed, name) for name in FIELDS}
             number = self._numbers[handed.cls]
             self._journal.accept(handed.id, fields | {"rules": number}, body)
         except JournalFullError as error:
             LOG.warning("a message was refused: %s", error, extra={"message_id": handed.id})
-            return self.refusal
+            return self._refused(DoorRefusal.DISK)
         self._held[handed.id] = Held(handed, body, self._class(handed.cls).effect)
         self._use(handed.dest)
         rules = self._rules(number) if handed.cls in self._dropped else None
@@ -448,6 +456,8 @@
     def _settled(self, call: Call, part: Part, told: Told) -> None:
         """An attempt is over: journal what it proves, then tell the module."""
         complete = told.complete
+        if not complete and (held := self._held.get(part.id)) is not None:
+            held.last_end = told.verdict.value
         if complete:
             self._end(part.id, told.verdict is api.Verdict.OK)
         elif told.verdict.never_ran:
@@ -530,9 +540,10 @@
                 case api.Send():
                     sends.setdefault(action.host, []).append(action)
                 case api.Refuse():
-                    ends += self._given_up(Notice(action.id, "bounced", action.retry_after_us // 1000))
+                    notice = Notice(action.id, "bounced", action.retry_after_us // 1000)
+                    ends += self._given_up(notice, action.reason)
                 case api.Fail():
-                    ends += self._given_up(Notice(action.id, "dead"))
+                    ends += self._given_up(Notice(action.id, "dead"), action.reason)
                 case api.CloseIdle():
                     self._partners.close_idle(action.host)
                 case api.Cancel():
@@ -590,7 +601,7 @@
             return False
         return True
 
-    def _given_up(self, notice: Notice) -> list[tuple[Notice, bool]]:
+    def _given_up(self, notice: Notice, reason: api.GiveUp) -> list[tuple[Notice, bool]]:
         """The module's final answer, journaled; none where the message is over already.
 
         Where the disk does not take it, a later life may try the message, beside the retry that a refusal
@@ -598,6 +609,7 @@
         """
         if (held := self._held.pop(notice.ref, None)) is None:
             return []
+        self._reasons.count(Event.REFUSAL, reason.value, message_id=notice.ref)
         kept = self._journal.end(notice.ref, notice.result, notice.wait_ms)
         self._figures.ended(held.handed.cls, "deferred" if notice.result == "bounced" else "errored")
         self._remember(notice.ref)
@@ -619,6 +631,8 @@
             for send in chunk:
                 held = self._held[send.id]
                 number, held.attempts = held.attempts, held.attempts + 1
+                if number:
+                    self._reasons.count(Event.RETRY, held.last_end, message_id=send.id, host=host)
                 parts.append(Part(send.id, number, held.handed.key, held.body, send.limit_us, send.by_us))
                 tries.append((send.id, Attempt(number, host, self._partners.zone(host), now_us)))
             if not parts:
--- a/mallowlug/fronts/resp2.py
+++ b/mallowlug/fronts/resp2.py
@@ -10,6 +10,7 @@
 
 from mallowlug.core.model import Address, Answer, Handed, Refused, Taken
 from mallowlug.core.ports import Intake
+from mallowlug.core.reasons import ClientClose, Event, Reasons
 from mallowlug.system import System
 
 LOG = logging.getLogger(__name__)
@@ -157,6 +158,7 @@
         self._turn: asyncio.Handle | None = None
         self.ending = False
         self._ended, self._lingers = False, False  # the client's sending has ended; ours has
+        self._why_closed: ClientClose | None = None  # as decided here
 
     @property
     def begun(self) -> bool:
@@ -172,6 +174,8 @@
         if self._turn is not None:
             self._turn.cancel()
         self._server.left(self)
+        by_client = ClientClose.BY_CLIENT if exc is None else ClientClose.BROKEN
+        self._server.reasons.count(Event.CLIENT_CLOSE, self._why_closed or by_client)
 
     def pause_writing(self) -> None:
         """A client that does not read its answers is not read either: buffers stay bounded."""
@@ -218,7 +222,7 @@
         transport.write(b"".join(answers))
         leaves = self.ending or (self._server.parting and not more)
         if self._errors >= MOST_ERRORS or (leaves and not self.begun):
-            self.drop()
+            self.drop(self._why_it_ends())
             return
         self._server.heard(self, bool(answers))
         if more:
@@ -227,6 +231,14 @@
         elif not self._unread:
             transport.resume_reading()
 
+    def _why_it_ends(self) -> ClientClose:
+        """Why nothing more is read behind the answers so far."""
+        if self._errors >= MOST_ERRORS:
+            return ClientClose.ERRORS
+        if self._ended:
+            return ClientClose.BY_CLIENT
+        return ClientClose.ENDING if self.ending else ClientClose.HANDED_OVER
+
     def _go_on(self) -> None:
         """Serve the rest in a later turn."""
         if self._turn is None and not self._unread:
@@ -243,10 +255,11 @@
 
     def _end_between(self) -> None:
         if not self.begun:
-            self.drop()
+            self.drop(ClientClose.ENDING)
 
-    def drop(self, answer: bytes = b"") -> None:
+    def drop(self, reason: ClientClose, answer: bytes = b"") -> None:
         """End the connection by a lingering close; one that lingers already is broken off."""
+        self._why_closed = self._why_closed or reason
         transport = self._transport
         if transport is None:
             return
@@ -268,6 +281,7 @@
 
     def cut(self) -> None:
         """Close at once, as its descriptor is needed."""
+        self._why_closed = self._why_closed or ClientClose.ROOM
         if self._transport is not None:
             (self._transport.abort if self._lingers else self._transport.close)()
 
@@ -288,8 +302,10 @@
         shared: bool = False,
         *,
         burst: int = 16,
+        reasons: Reasons | None = None,
     ) -> None:
         self.core, self._address, self.most, self._system = core, address, most, system
+        self.reasons = reasons or Reasons()
         self._burst = burst  # connections taken on before any of them is served
         self._shared = shared  # whether another process of this relay may listen beside this one
         self._sock: socket.socket | None = None
@@ -383,15 +399,15 @@
         """Close connections that say nothing and requests that do not end."""
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
-        for table, most_s, answer in (
-            (self.silent, SILENT_S, b""),
-            (self.asking, REQUEST_S, b"-ERR a request without end\r\n"),
-            (self.lingering, LINGER_S, b""),
+        for table, most_s, reason, answer in (
+            (self.silent, SILENT_S, ClientClose.SILENT, b""),
+            (self.asking, REQUEST_S, ClientClose.UNFINISHED, b"-ERR a request without end\r\n"),
+            (self.lingering, LINGER_S, ClientClose.LINGERED, b""),
         ):
             while table and loop.time() - next(iter(table.values())) > most_s:
                 client = next(iter(table))
                 self.left(client)
-                client.drop(answer)
+                client.drop(reason, answer)
 
     def end_clients(self) -> None:
         """Close every connection between requests; new ones get answers and are closed behind them."""
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -15,6 +15,7 @@
 
 from mallowlug.core.model import Call, HostList, Listed, Part, Told
 from mallowlug.core.ports import Released, Settled
+from mallowlug.core.reasons import Event, HostClose, Reasons
 from mallowlug.net.answers import Answer, SpoiltError
 from mallowlug.net.http import FAULTS, Connection, Headers
 from mallowlug.system import System
@@ -146,12 +147,13 @@
         released: Released,
         system: System,
         most_open: int = 1 << 16,
+        reasons: Reasons | None = None,
     ) -> None:
         """``most_idle``, ``most_open``: connections kept between calls; and with those that carry one."""
         self._now_s, self._system = asyncio.get_running_loop().time, system
         self._kinds = {kind.name: kind for kind in kinds}
         self._idle_s, self._connect_s = keepalive_us / 1e6 * IDLE_SHARE, connect_us / 1e6
-        self._most_open = most_open
+        self._most_open, self._reasons = most_open, reasons or Reasons()
         self._most_idle, self._settled, self._released = most_idle, settled, released
         self._listed: dict[str, Listed] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
@@ -168,7 +170,7 @@
             gone = self._listed.keys() - {listed.entry.host for listed in news.hosts}
             for host in gone:
                 del self._listed[host]
-                self.close_idle(host)
+                self.close_idle(host, HostClose.UNWANTED)
         for listed in news.hosts:
             host = listed.entry.host
             known = self._listed.get(host)
@@ -177,7 +179,7 @@
             else:
                 self._listed[host] = listed
             if listed.entry.listing is not Listing.READY or (known and known.dial != listed.dial):
-                self.close_idle(host)
+                self.close_idle(host, HostClose.UNWANTED)
 
     def change(self, kinds: Iterable[Kind]) -> None:
         """Go by these kinds from now on."""
@@ -186,7 +188,7 @@
     def bar(self, host: str, out: bool) -> None:
         """A host is out by hand, or back: then as a new process, which no old connection reaches."""
         (self._out.add if out else self._out.discard)(host)
-        self.close_idle(host)
+        self.close_idle(host, HostClose.UNWANTED)
 
     def _serves(self, host: str) -> bool:
         """Whether the list and the staff let calls go there."""
@@ -276,10 +278,10 @@
                 if (part.id, part.attempt) == (ref, attempt):
                     self._stop(exchange, part, Verdict.CANCELLED)
 
-    def close_idle(self, host: str) -> None:
+    def close_idle(self, host: str, reason: HostClose = HostClose.POLICY) -> None:
         """Close the connections to a host that carry no call."""
         for connection, timer in self._idle.pop(host, []):
-            self._drop(connection, timer)
+            self._drop(host, connection, timer, reason)
 
     def close(self) -> None:
         """Give up everything, silently: what is out stays in the journal as it stands."""
@@ -289,7 +291,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         for host in list(self._idle):
-            self.close_idle(host)
+            self.close_idle(host, HostClose.ENDING)
 
     def _settle(self, exchange: Exchange, part: Part, told: Told | None) -> None:
         part.settled = True
@@ -319,8 +321,10 @@
     async def _run(self, exchange: Exchange) -> None:
         """Connect, write, read: every way out settles what is open and leaves no connection behind."""
         told, keep, host = Told(Verdict.RESET), False, exchange.call.host
+        reason = HostClose.FAILED
         try:
             keep = await self._exchange(exchange)
+            reason = HostClose.NOT_KEPT
         except SpoiltError as error:  # not a reset: the connection held, and the host has answered
             LOG.debug("hosts: %s: a spoilt answer: %s", host, str(error)[:80], extra={"host": host})
             told = Told(Verdict.ERROR)
@@ -336,7 +340,7 @@
             if exchange.timer is not None:
                 exchange.timer.cancel()
             if exchange.connection is not None and not keep:
-                exchange.connection.close()
+                self._close(host, exchange.connection, reason)
             self.exchanges.pop(exchange, None)
             for part in exchange.call.open:
                 self._settle(exchange, part, self._proved(exchange) or told)
@@ -412,7 +416,7 @@
             timer.cancel()
             if connection.quiet():
                 return connection
-            connection.close()
+            self._close(host, connection, HostClose.IDLE)
         return None
 
     def _make_room(self) -> None:
@@ -420,8 +424,9 @@
         while any(self._idle.values()) and sum(map(len, self._idle.values())) + len(self.exchanges) > (
             self._most_open
         ):
-            first = min((idle for idle in self._idle.values() if idle), key=lambda idle: idle[0][1].when())
-            self._drop(*first.pop(0))
+            kept = [(host, idle) for host, idle in self._idle.items() if idle]
+            host, first = min(kept, key=lambda item: item[1][0][1].when())
+            self._drop(host, *first.pop(0), HostClose.ROOM)
 
     def _keep(self, host: str, connection: Connection) -> bool:
         """Keep a connection for the next call, watched for the host's end, closed before its keep-alive."""
@@ -439,10 +444,15 @@
         """An idle connection has stood too long, or the host has ended it."""
         for item in [item for item in self._idle.get(host, []) if item[0] is connection]:
             self._idle[host].remove(item)
-            self._drop(*item)
+            self._drop(host, *item, HostClose.IDLE)
 
-    @staticmethod
-    def _drop(connection: Connection, timer: asyncio.TimerHandle) -> None:
+    def _drop(self, host: str, connection: Connection, timer: asyncio.TimerHandle, reason: HostClose) -> None:
+        """Close a connection that was kept."""
         asyncio.get_running_loop().remove_reader(connection.fd)
         timer.cancel()
+        self._close(host, connection, reason)
+
+    def _close(self, host: str, connection: Connection, reason: HostClose) -> None:
+        self._reasons.counts[Event.HOST_CLOSE, reason] += 1
+        LOG.debug("hosts: %s: closed: %s", host, reason, extra={"host": host})
         connection.close()
--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -28,6 +28,7 @@
     Entry,
     Event,
     Fail,
+    GiveUp,
     Idle,
     Kind,
     Learned,
@@ -360,6 +361,14 @@
         listed = [e for e in self.endpoints.values() if e.listing is not Listing.GONE]
         return sum(e.out or e.listing is Listing.DRAINING or self._ill(e) for e in listed)
 
+    def phases(self) -> dict[str, int]:
+        """Listed endpoints by what they are taken to be."""
+        counts = dict.fromkeys((phase.value for phase in Phase), 0)
+        for endpoint in self.endpoints.values():
+            if endpoint.listing is not Listing.GONE:
+                counts[endpoint.slow.phase.value] += 1
+        return counts
+
     def _until_us(self, endpoint: Endpoint) -> int:
         """When no wait, pause or cold return binds there any more."""
         return max(max(g.pause_us, g.slow.cold_us + self.set.warm_within_us) for g in endpoint.guards)
@@ -761,13 +770,24 @@
             part = min(part, limit.rate * self._equal(MOST_PARTS))
         return part / (1 if guard is limit else max(1, len(self.dests[endpoint.dest].ready())))
 
-    def _give_up(self, message: Message) -> None:
+    def _why_over(self, message: Message) -> GiveUp:
+        """Why no further call is made for a message whose end has come."""
+        if message.attempts >= message.most:
+            return GiveUp.NO_TRY_LEFT
+        if message.risky_us < 0 or message.cls.effect is Effect.SAFE:
+            return GiveUp.NO_TIME
+        if message.cls.effect is Effect.UNSAFE:
+            return GiveUp.NOT_REPEATABLE
+        return GiveUp.KEY_EXPIRES if self._known_us(message) <= self.now else GiveUp.NO_TIME
+
+    def _give_up(self, message: Message, reason: GiveUp) -> None:
         """Answer for good: a refusal where a retry is harmless, else a failure."""
         keyed_anywhere = message.cls.effect is Effect.KEYED and not message.cls.scope_is_zone
         harmless = message.cls.effect is Effect.SAFE or message.risky_us < 0 or keyed_anywhere
         # One figure for all would bring their clients back together.
         wait_us = int(self.set.max_retry_after_us * self.set.advise_retry * self.rng.uniform(0.5, 1.0))
-        self.actions.append(Refuse(message.id, wait_us) if harmless else Fail(message.id))
+        answer = Refuse(message.id, wait_us, reason) if harmless else Fail(message.id, reason)
+        self.actions.append(answer)
         self._close(message)
 
     def _close(self, message: Message) -> None:
@@ -802,15 +822,18 @@
             message = heapq.heappop(self.ends)[2]
             # What a call takes may have changed since.
             if not message.done and message.id in self.dests[message.dest].held:
-                (self._await_end if self._end_us(message) > self.now else self._give_up)(message)
+                if self._end_us(message) > self.now:
+                    self._await_end(message)
+                else:
+                    self._give_up(message, self._why_over(message))
         for dest in [self.dests[number] for number in self.look]:
             start = min([e.limit.wait_us for e in dest.ready()], default=0) if dest.held else 0
             if start > self.now:  # told to wait past the message's time: answer now
                 for message in self._ending(dest, start):
-                    self._give_up(message)
+                    self._give_up(message, GiveUp.TOLD_TO_WAIT)
         for _ in range(self.open - max(1, self.set.hold_cap - 1)):
             if worst := self._worst():
-                self._give_up(worst)
+                self._give_up(worst, GiveUp.TOO_MANY)
 
     def _worst(self) -> Message | None:
         """The least worthy of all that is held."""
--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -348,12 +348,24 @@
     by_us: int = 0
 
 
+class GiveUp(Enum):
+    """Why a message gets its final answer without having been delivered."""
+
+    NO_TIME = "no time for a further call"
+    TOLD_TO_WAIT = "told to wait beyond its time"
+    NO_TRY_LEFT = "no try left"
+    NOT_REPEATABLE = "may have run, and may not be repeated"
+    KEY_EXPIRES = "may have run, and its key is known no longer"
+    TOO_MANY = "too many messages are held"
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: handed back, a retry is harmless."""
 
     id: str
     retry_after_us: int = 0
+    reason: GiveUp = field(default=GiveUp.NO_TIME, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -361,6 +373,7 @@
     """Final answer: given up, nothing is promised."""
 
     id: str
+    reason: GiveUp = field(default=GiveUp.NO_TIME, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -11,15 +11,17 @@
 from tests.world import Reply, Request, World, called, delivered, enqueue, packed, silent, soon
 
 Samples = dict[tuple[str, str, str], float]
+KINDS = ("state", "reason", "phase")  # labels, of which a sample has one at most
 
 
 def parsed(text: str) -> Samples:
-    """Samples by name, group and state."""
+    """Samples by name, group, and state, reason or phase."""
     found: Samples = {}
     for family in text_string_to_metric_families(text):
         assert family.documentation and family.type in ("counter", "gauge")
         for sample in family.samples:
-            key = sample.name, sample.labels.get("group", ""), sample.labels.get("state", "")
+            [label] = [sample.labels[name] for name in KINDS if name in sample.labels] or [""]
+            key = sample.name, sample.labels.get("group", ""), label
             assert key not in found
             found[key] = sample.value
     return found
@@ -121,6 +123,13 @@
             ("relay_transactions_total", "keyed", "errored"): 1.0,
             ("relay_current", "", ""): 0.0,
             ("relay_cluster_size", "", ""): 3.0,
+            ("relay_refusals_total", "", "k is missing"): 1.0,
+            ("relay_refusals_total", "", "unknown class"): 1.0,
+            ("relay_refusals_total", "", "may have run, and may not be repeated"): 1.0,
+            ("relay_refusals_total", "", "no time for a further call"): 1.0,
+            ("relay_client_closes_total", "", "ended by the client"): 1.0,
+            ("relay_retries_total", "", "error"): 1.0,
+            ("relay_retries_total", "", "full"): float(len(calls) - len(set(calls)) - 1),
         }
 
     async def agreed() -> None:
