--- a/tests/slow_start/test_decisions.py
+++ b/tests/slow_start/test_decisions.py
@@ -119,6 +119,21 @@
     assert not any(isinstance(action, api.Care) for action in actions)
 
 
+def test_a_suspicion_in_a_slow_start_leaves_the_return_journaled() -> None:
+    """As an outage it would let a later life begin the warm-up anew, however warm the endpoint is."""
+    relay = relay_with("h1", group=settings(group_size=1, slots=8))
+    relay.step(SECOND, [api.Care("h1", 11 * SECOND, api.CareKind.RETURN, 1.0)])
+    assert phase(relay, "h1") is Phase.SLOW_START
+    at_us, told = SECOND, list[api.Action]()
+    while phase(relay, "h1") is Phase.SLOW_START:  # the first call may have to wait for its credit
+        at_us += SECOND
+        actions = relay.step(at_us, [arrival(f"m{at_us}", SAFE)])
+        for send in sends(actions):
+            told += relay.step(at_us + 1000, [ended(send, api.Verdict.RESET, took_us=1000)])
+    assert phase(relay, "h1") is Phase.SUSPECT
+    assert [action for action in told if isinstance(action, api.Care)] == []
+
+
 def test_a_told_wait_is_journaled_beyond_its_end() -> None:
     relay = relay_with("h1")
     [send] = sends(relay.step(SECOND, [arrival("m1", SAFE)]))
