--- a/mossfront/brain.py
+++ b/mossfront/brain.py
@@ -1,5 +1,5 @@
-"""Every decision of the relay. Its types, events and actions are in ``mossfront/interface.py``, and what it
-remembers in ``mossfront/state.py``.
+"""Every decision of the relay. Its types, events and actions are in ``mossfront/interface.py``, what it
+remembers in ``mossfront/state.py``, and what failures tell it in ``mossfront/outages.py``.
 
 The ordinary path is fetches-per-server of the FRNOG 25 BIND9 notes: each endpoint has a quota of calls in
 flight that shrinks while its failure ratio is high and regrows while it is low; a message over quota is held.
@@ -12,7 +12,6 @@
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import replace
 
 from mossfront.backlog import Lane, Lanes, bends, bound_zone, put, take
 from mossfront.interface import (
@@ -33,7 +32,6 @@
     Kind,
     Learned,
     Listing,
-    Log,
     Outcome,
     Paused,
     Refuse,
@@ -49,7 +47,8 @@
     Wake,
     Withdrawn,
 )
-from mossfront.slow_start import CONFIRM_US, RECENT_US, Budget, Load, Phase, Transition
+from mossfront.outages import OUTAGE_MARK, Outages
+from mossfront.slow_start import RECENT_US, Budget, Phase
 from mossfront.state import Call, Destination, Endpoint, Guard, Manner, Message, Record, Tally
 
 CAP_SHARE, SICK_SHARE = 0.75, 0.5  # of slots: calls to one healthy, one failing or slow destination
@@ -60,7 +59,6 @@
 MEMORY_US = 10_000_000  # us in which evidence fades to a third: ratios, own demand, a slowed pace
 HIGH_MARK, LOW_MARK = 0.3, 0.1  # failure ratio: above, the quota steps down; below, it steps up
 STEP_DOWN, STEP_UP = 0.7, 0.1  # quota factor for a step down; share of the start for a step up
-OUTAGE_MARK = 0.5  # failure ratio above which an endpoint that does not only refuse is in an outage
 RETRY_US, RETRY_MAX_US = 200_000, 3_000_000  # us between trials where this relay's part is large
 BURST_US = 400_000  # us of its rate that a paced limit may take at once
 LATE_SPREADS = 4.0  # spreads over the mean: a call older than this is overdue (about 1 in 50 if exponential)
@@ -74,41 +72,17 @@
 STALE_DOWN, STALE_UP = 0.5, 1.005  # factors of the trusted idle age: a reused connection cut; any other end
 ASK_GAP_US, ASK_EACH_US = 500_000, 100_000  # us before a failed ask is repeated, at first; for each relay
 LISTED_US = 6_000_000  # us after which a change counts as told, once the directory has it and can be reached
-CARE_US, FURTHER = 300_000_000, 0.2  # us for which an outage is told to a later life; weight within a call
-HUNG_US = 300_000  # us: a connection that breaks after so long had hung
+FURTHER_WEIGHT = 0.2  # weight of a further message within a call
 LIMIT_STRIKES = 1  # refusals in a row that are the limit's, where a report says that it is used up
-FOUND_SHARE = 0.75  # of the credit of a new message, for one that a restart has found untried
-USED_UP = 0.95  # share left of a limit below which a refusal is the limit's
-SHUT_US = 1_500_000  # us: who is told to wait for longer is told of an outage, not of a limit
 NEVER_US = 1 << 62
 URGENCY_US, KEEP_WORTH = 1_500_000, 0.2  # us ahead in which waiting loses worth; weight of the worth beside
 
 # Whether it is no find of a restart, risk; cost, aim, serial, ..., slot_us.
 Front = list[tuple[tuple[bool, float], float, int, int, Message, Lane, float]]
-PHASES = {
-    CareKind.OUTAGE: Phase.DOWN,
-    CareKind.SUSPICION: Phase.SUSPECT,
-    CareKind.RETURN: Phase.SLOW_START,
-}
 RISKS = {effect: float(order) for order, effect in enumerate(Effect)}  # by what a repeat does
 
 
-def _hung(event: Outcome) -> bool:
-    """Whether a connection broke long after a call was made.
-
-    A machine that was silent and is back resets what hung on it: all senders see that at its return.
-    """
-    return event.verdict in (Verdict.RESET, Verdict.CONNECT_FAILED) and event.elapsed_us > HUNG_US
-
-
-def _reason(event: Outcome) -> str:
-    """What a failed call tells the people on call."""
-    if event.wait_us > 0:
-        return f"{event.verdict.value}, told to wait {event.wait_us / 1e6:.1f} s"
-    return event.verdict.value
-
-
-class Relay:
+class Relay(Outages):
     """One sender. Feed it batches of events in order of time; carry out what it returns."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -447,31 +421,6 @@
                 self.rests[message.key] = self.now + self.set.order_pause_us
         self._hold(message)
 
-    def _credit(self, dest: Destination, ready: list[Endpoint], *, found: bool = False) -> None:
-        """A message came, or has been found: endpoints that may be down or cold earn their share of it."""
-        guards = {id(guard): guard for endpoint in ready for guard in endpoint.guards}  # a shared one once
-        for guard in guards.values():
-            if guard.slow.phase is Phase.HEALTHY:
-                continue
-            share = 1.0 if guard is dest.limit else 1 / len(ready)
-            load = self._load(dest, guard)
-            if found:  # the traffic before the restart is not known: as if all senders had met the outage
-                load, share = replace(load, destination_per_s=math.inf), FOUND_SHARE * share
-            guard.slow.message(self.now, self.budget, load, share)
-
-    def _credit_found(self, number: int) -> None:
-        """A message that a restart found untried earns credit as a new one does."""
-        if (dest := self.dests.get(number)) is not None:
-            self._credit(dest, dest.ready(), found=True)
-            self.look[number] = None
-
-    def _load(self, dest: Destination, guard: Guard) -> Load:
-        """An equal part of a destination's messages for each of its endpoints, or all for what they share."""
-        share = 1.0 if guard is dest.limit else 1 / max(1, len(dest.ready()))
-        limit_per_s = guard.rate or dest.limit.rate * share
-        per_s = dest.traffic.per_s(self.now)
-        return Load(per_s * share, per_s, limit_per_s, dest.traffic.served_share)
-
     def _hold(self, message: Message) -> None:
         """Keep it for the dispatch, and note when it has to be answered."""
         dest = self.dests[message.dest]
@@ -573,27 +522,6 @@
             self.rests[key] = self.now + self.set.order_pause_us
             self.look.update({other.dest: None for other in self.turns.get(key, [])[:1]})
 
-    def _beware(self, endpoint: Endpoint, care: Care) -> None:
-        """A former life saw an outage there: go on as in it, or in the slow start that was still due."""
-        cold_for_us = self.set.warm_within_us + self.set.fall_us - care.for_us
-        for guard in endpoint.guards:
-            change = guard.slow.restore(
-                self.now, self.budget, self.rng.random(), PHASES[care.kind],
-                cold_for_us=cold_for_us, served_share=care.served_share,
-            )  # fmt: skip
-            self._report(endpoint, change)
-            guard.strikes, guard.strike_us = (1 if care.kind is CareKind.SUSPICION else 3), self.now
-            guard.refused = False
-        endpoint.care_us, endpoint.care_kind = self.now + care.for_us, care.kind
-
-    def _care(self, endpoint: Endpoint, for_us: int, kind: CareKind) -> None:
-        """What a later life has to know, told when it changes and now and then."""
-        known = endpoint.care_us > self.now and endpoint.care_kind is kind
-        if not known or self.now + for_us > endpoint.care_us + CARE_US // 4 or for_us < CARE_US:
-            endpoint.care_us, endpoint.care_kind = self.now + for_us, kind
-            share = min(guard.slow.served_share for guard in endpoint.guards)
-            self.actions.append(Care(endpoint.host, for_us, kind, share))
-
     def _learn(self, call: Call, message: Message, event: Outcome) -> None:
         """What the end of a call says of its connection, its class there, its endpoint and its limit."""
         endpoint, verdict, name = call.endpoint, event.verdict, message.cls.name
@@ -695,69 +623,6 @@
         else:  # all that were told to wait would come back at once
             guard.next_us = max(guard.next_us, start_us + int((start_us - self.now) * self.rng.random()))
 
-    def _suspect_outage(
-        self, endpoint: Endpoint, guard: Guard, call: Call, message: Message, event: Outcome
-    ) -> None:
-        """Tell the slow start of a failure, and a later life where it may be an outage."""
-        slow, hung = guard.slow, _hung(event)
-        failing = event.verdict is not Verdict.FULL and endpoint.ratio.share(self.now) > OUTAGE_MARK
-        load = self._load(self.dests[endpoint.dest], guard)
-        change = slow.failed(
-            self.now, call.sent_us, self.budget, load, self.rng.random(), reason=_reason(event),
-            outage=failing or event.wait_us > SHUT_US, hung=hung,
-        )  # fmt: skip
-        self._report(endpoint, change, message)
-        if event.verdict is Verdict.ERROR:
-            slow.refund(self.now, self.budget, load)
-        if slow.phase is not Phase.DOWN and not hung:
-            return
-        # Endpoints of a destination mostly fail together.
-        confirms = not hung and event.elapsed_us <= RECENT_US
-        for sibling in self.dests[endpoint.dest].ready():
-            if sibling is not endpoint:
-                self._doubt(sibling, f"{endpoint.host} failed", confirms=confirms)
-
-    def _doubt(self, endpoint: Endpoint, reason: str, *, confirms: bool) -> None:
-        """An endpoint that has not just served may be out. ``confirms``: one call may tell at once."""
-        load = self._load(self.dests[endpoint.dest], endpoint.own)
-        change = endpoint.own.slow.doubted(self.now, self.budget, load, self.rng.random(), reason)
-        if change is None:
-            return
-        self._report(endpoint, change)
-        self._care(endpoint, CARE_US, CareKind.SUSPICION)
-        if confirms:
-            endpoint.own.slow.confirm_by(self.now + CONFIRM_US)
-
-    def _follow_up(self, endpoint: Endpoint, guard: Guard, event: Outcome) -> None:
-        """Behind a failure: what a later life has to know, and until when a second call may tell more."""
-        left_us = max(0, guard.wait_us - self.now)
-        if guard.slow.phase is Phase.DOWN:
-            self._care(endpoint, left_us + CARE_US, CareKind.OUTAGE)
-        elif guard.slow.cold_us < 0 and (guard.slow.phase is Phase.SUSPECT or guard.strikes):
-            # In a slow start the return is journaled. A shut endpoint may report a limit as used up, too:
-            # a limit's refusal is a suspicion to a later life, until a call is served.
-            self._care(endpoint, left_us + CARE_US, CareKind.SUSPICION)
-        pause_us = max(0, guard.pause_us - self.now)
-        # Unless a limit is reported as used up, a wait may be an outage's, which ends for all in one moment.
-        common = _hung(event) or (event.wait_us > 0 and not self._limit_used_up(guard, event))
-        # Behind more than that an outage might have passed meanwhile.
-        if not common and max(pause_us, event.elapsed_us) <= RECENT_US:
-            guard.slow.confirm_by(self.now + pause_us + CONFIRM_US)
-
-    @staticmethod
-    def _limit_used_up(guard: Guard, event: Outcome) -> bool:
-        """Whether a refusal's own report says that the limit is used up: the endpoint serves others."""
-        if not guard.rate or event.limit_left is None or event.wait_us > SHUT_US:
-            return False
-        return event.limit_left < USED_UP
-
-    def _report(self, endpoint: Endpoint, change: Transition | None, message: Message | None = None) -> None:
-        """A line for each change of phase."""
-        if change is not None:
-            last = f" (message {message.id})" if message else ""
-            line = f"{endpoint.host} {change.before.value} -> {change.after.value}: {change.reason}{last}"
-            self.actions.append(Log(line))
-
     def _pace(self, limit: Guard) -> float:
         """This relay's pace at a limit; it grows with time, and faster with successes."""
         in_us = PACE_US * self.slow if limit.told_us > 0 else MEMORY_US
@@ -999,7 +864,7 @@
                 if endpoint.kind.batch > 1 and guard.slow.phase is not Phase.HEALTHY:
                     load = self._load(self.dests[endpoint.dest], guard)
                     weight = guard.slow.most_weight(self.now, self.budget, load)
-                    call.most = int(min(call.most, 1 + (weight - 1) / FURTHER))
+                    call.most = int(min(call.most, 1 + (weight - 1) / FURTHER_WEIGHT))
             endpoint.calls.append(call)
             self.made.append(call)
             self.calls_out += 1
@@ -1011,7 +876,7 @@
                 limit.next_us = max(limit.next_us, self.now - BURST_US) + gap_us
         first = call.messages == 0
         # What travels with others weighs a part of a call.
-        endpoint.slow.charge(self.now, self.budget, 1.0 if first else FURTHER, first=first)
+        endpoint.slow.charge(self.now, self.budget, 1.0 if first else FURTHER_WEIGHT, first=first)
         self._unhold(message)  # before its tries and what they may have done say another lane
         message.first = False
         call.messages, call.open = call.messages + 1, call.open + 1
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -12,7 +12,7 @@
 from mallowlug.rig.judge import cold
 from mossfront import Relay
 from mossfront import interface as api
-from mossfront.brain import FURTHER
+from mossfront.brain import FURTHER_WEIGHT
 from tests.fleet import Fleet, Host
 from tests.support import SAFE, SECOND, arrival, entry, roster, sends
 from tests.support import settings as usual
@@ -50,7 +50,7 @@
         assert isinstance(host, Returning)
         if OUT_US <= at_us < host.until_us:
             self.seen.add(relay)
-        self.calls.append((at_us, cold.work_of(len(sends), FURTHER), relay))
+        self.calls.append((at_us, cold.work_of(len(sends), FURTHER_WEIGHT), relay))
         super()._call(at_us, relay, host, sends)
 
 
@@ -93,7 +93,9 @@
     st.sampled_from(("lot", "bank")), st.sampled_from(LOST), st.floats(3, 20), st.floats(0.2, 0.8),
     st.integers(0, 10**6),
 )  # fmt: skip
-ONE_CALL = cold.work_of(10, FURTHER)  # relays that share nothing can't time their calls against each other
+ONE_CALL = cold.work_of(
+    10, FURTHER_WEIGHT
+)  # relays that share nothing can't time their calls against each other
 
 
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
