--- a/mallowlug/core/reasons.py
+++ b/mallowlug/core/reasons.py
@@ -11,6 +11,8 @@
 from collections import Counter
 from enum import StrEnum
 
+from mossfront.interface import GiveUp, Verdict
+
 LOG = logging.getLogger(__name__)
 SUMMARY_S = 10.0  # s between two lines of the log
 
@@ -61,12 +63,22 @@
     ENDING = "the relay ends"
 
 
+UNKNOWN_END = "unknown, of a former process"  # how an attempt ended that a restart found
+REASONS: dict[Event, tuple[str, ...]] = {
+    Event.CLIENT_CLOSE: tuple(reason.value for reason in ClientClose),
+    Event.HOST_CLOSE: tuple(reason.value for reason in HostClose),
+    Event.RETRY: (*(verdict.value for verdict in Verdict), UNKNOWN_END),
+    Event.REFUSAL: (*(reason.value for reason in DoorRefusal), *(reason.value for reason in GiveUp)),
+}
+
+
 class Reasons:
-    """The counts of one process."""
+    """The counts of one process; each reason is there from the start, as figures are read by their growth."""
 
     def __init__(self) -> None:
-        self.counts: Counter[tuple[Event, str]] = Counter()  # frequent events are added here by their owner
-        self._told: Counter[tuple[Event, str]] = Counter()  # as of the last line
+        # Frequent events are added here by their owner.
+        self.counts = Counter({(event, reason): 0 for event in Event for reason in REASONS[event]})
+        self._told = self.counts.copy()  # as of the last line
         self._timer: asyncio.TimerHandle | None = None
 
     def count(self, event: Event, reason: str, *, message_id: str = "", host: str = "") -> None:
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -34,7 +34,7 @@
 )
 from mallowlug.core.outs import Outs
 from mallowlug.core.ports import Plugs
-from mallowlug.core.reasons import DoorRefusal, Event
+from mallowlug.core.reasons import UNKNOWN_END, DoorRefusal, Event
 from mossfront import Relay as Module
 from mossfront import interface as api
 
@@ -69,7 +69,7 @@
     body: bytes
     effect: api.Effect
     attempts: int = 0
-    last_end: str = "unknown, of a former process"  # how its last attempt ended
+    last_end: str = UNKNOWN_END  # how its last attempt ended
 
 
 class Driver:
