--- a/mallowlug/rig/cli.py
+++ b/mallowlug/rig/cli.py
@@ -242,14 +242,15 @@
 @click.option("--relays", type=click.IntRange(1, 200), default=40)
 @click.option("--length", type=click.FloatRange(24, 600), default=34.0, help="Seconds of traffic a seed.")
 @click.option("--out", type=FILE, default=Path("rig-out/soak"), help="Where records of failed seeds go.")
+@click.option("--repeats", is_flag=True, help="Hosts and platform write answers twice, as the seed draws it.")
 @reports_file_errors
-def soak_command(seeds: str, relays: int, length: float, out: Path) -> int:
+def soak_command(seeds: str, *, relays: int, length: float, out: Path, repeats: bool) -> int:
     """Run real relays in seeded environments with faults, and judge each run by all rules."""
     from mallowlug.rig.soak import run as soaks  # noqa: PLC0415
 
     failed, rules = 0, Counter[str]()
     try:
-        for result in soaks.soak(seeds_of(seeds), relays, length, out):
+        for result in soaks.soak(seeds_of(seeds), relays, length, out, repeats):
             print(result, flush=True)
             for breach in result.breaches[:MAX_SHOWN]:
                 print(f"  {breach}", flush=True)
--- a/mallowlug/rig/judge/record.py
+++ b/mallowlug/rig/judge/record.py
@@ -217,6 +217,23 @@
     by: Literal["relay", "host"]
 
 
+class CallOverlapped(Event, frozen=True, tag="overlap"):
+    """A call began on a connection whose call before it, ``call``, had no answer yet."""
+
+    call: int
+
+
+class AnswerRepeated(Event, frozen=True, tag="again"):
+    """An answer, or a part of one, is about to be written once more on a connection.
+
+    ``call`` is the call that waits for its answer on that connection; 0 if none does.
+    """
+
+    server: str
+    connection: int
+    call: int = 0
+
+
 class ConnectionClosed(Event, frozen=True, tag="left"):
     """The relay closed the connection whose last call, this one, was answered with a Retry-After wait."""
 
@@ -313,7 +330,8 @@
 
 AnyEvent = (
     RecordHead | HostAdded | HostStateChange | ProcessEvent | HostDisabled | MessageSubmitted | ClientOutcome
-    | ConnectStarted | Call | MessageProcessed | CallAnswered | CallBroken | ConnectionClosed | Notice
+    | ConnectStarted | Call | MessageProcessed | CallAnswered | CallBroken | CallOverlapped
+    | AnswerRepeated | ConnectionClosed | Notice
     | DirectoryChange | StateAnnounced | WatchChange | ReachabilityChange | LinkDelay | DatagramPath
     | FleetView | MalformedClient | Annotation | RecordEnd
 )  # fmt: skip
--- a/mallowlug/rig/judge/rules.py
+++ b/mallowlug/rig/judge/rules.py
@@ -13,12 +13,13 @@
 
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.judge.ledger import Attempt, Ledger, Message
+from mallowlug.rig.judge.overlap import OverlapRule
 from mallowlug.rig.judge.returns import ColdReturnRule
 from mallowlug.rig.judge.rule import Breach, Rule
 from mallowlug.rig.judge.untried import UntriedRule
 
-# Six rules and one acceptance term.
-RULES = ("lost", "twice", "drains", "returns", "order", "waits", "untried")
+# Six rules, one acceptance term and one term of the protocol.
+RULES = ("lost", "twice", "drains", "returns", "order", "waits", "untried", "overlap")
 MAX_RIG_DELAY_US = 150_000  # max delay of the rig's event loop at which its timestamps are still trusted
 
 
@@ -413,6 +414,7 @@
             OrderRule,
             RetryAfterRule,
             UntriedRule,
+            OverlapRule,
         )
     ]
     for event in record.events:
--- a/mallowlug/rig/run/play.py
+++ b/mallowlug/rig/run/play.py
@@ -22,6 +22,7 @@
 from mallowlug.rig.world.httpd import AddressAllocator
 from mallowlug.rig.world.platform import DiscoveryServer, Platform
 from mallowlug.rig.world.proxy import NO_FAULT, FaultProxy, LinkFault
+from mallowlug.rig.world.repeats import RepeatFault
 from mallowlug.rig.world.scenario import (
     LINK_FAULT_EVENTS,
     OUTAGE_EVENTS,
@@ -122,6 +123,8 @@
         self.host_context = HostContext(self.writer, work, backend.addresses)
         self.platform = Platform(self.writer, scenario.directory.late_s, self.rng, backend.addresses)
         self.clients = Clients(self.writer, scenario.clients, self.rng)
+        self.host_context.repeater.rng = random.Random(f"repeated answers {scenario.seed}")
+        self.platform.repeater.rng = random.Random(f"repeated notices {scenario.seed}")
         self.platform.on_notice = self.clients.notice_received
         self.clients.on_submit = self.host_context.submitted_classes.__setitem__
         self.writer.listeners.append(self._handle_event)
@@ -313,7 +316,7 @@
             await {
                 "kill": self._restart, "term": self._restart, "wipe": self._restart, "hup": self._reload,
                 "move": self._move, "heavy_tail": self._heavy_tail, "garble": self._corrupt_answers,
-                "rude": self._malformed_clients,
+                "rude": self._malformed_clients, "repeat": self._repeat_answers,
                 "crowd": self._idle_clients,
                 "directory_out": self._directory_outage, "drain": self._drain_hosts,
                 "remove": self._drain_hosts,
@@ -376,6 +379,13 @@
         await asyncio.sleep(event.len_s)
         self.host_context.corrupt_share = 0.0
 
+    async def _repeat_answers(self, event: EventTable) -> None:
+        repeater = self.host_context.repeater if event.between == "hosts" else self.platform.repeater
+        low_ms, high_ms = event.after_ms
+        repeater.fault = RepeatFault(event.part, (low_ms / 1000, high_ms / 1000), event.form)
+        await asyncio.sleep(event.len_s)
+        repeater.fault = None
+
     async def _malformed_clients(self, event: EventTable) -> None:
         for number in range(event.count):
             door = self.relay_targets[number % len(self.relay_targets)]
--- a/mallowlug/rig/sim/faults.py
+++ b/mallowlug/rig/sim/faults.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from mallowlug.rig.world.repeats import draw_repeats
 from mallowlug.rig.world.scenario import SYNC_CALLS, SYSTEM_CALLS, EventTable, NetTable, Scenario, StrikeTable
 
 Row = dict[str, Any]
@@ -225,6 +226,14 @@
                     {"at_s": start_s, "what": "full", "relay": relay, "len_s": self._len(0.05, 3.0)}
                 )
 
+    def repeated_answers(self) -> None:
+        """Hosts, and half of the time the directory and the notices, that write answers twice.
+
+        Draws from its own random source, so that the seeds of other scenarios keep their faults.
+        """
+        rng = random.Random(f"repeats {self.seed}")
+        self.events += draw_repeats(rng, self.scenario.length_s)
+
     def network(self) -> None:
         """Links with latency, jitter and low throughput that split bytes anywhere."""
         latency = round(self.rng.choice((0.1, 1.0, 8.0)), 3)
@@ -257,6 +266,8 @@
             draw(plan)
     if scenario.relays.reloads:
         plan.reloads()
+    if scenario.partners.repeats:
+        plan.repeated_answers()
     # From a separate random source, so that existing seeds keep their faults. Whether second copies are
     # allowed is drawn too, as no site's rules say what may go wrong.
     copies = random.Random(f"copies {seed}").random() < 0.5
--- a/mallowlug/rig/soak/plan.py
+++ b/mallowlug/rig/soak/plan.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mallowlug.rig.world.repeats import draw_repeats
 from mallowlug.rig.world.scenario import Scenario
 
 OUTAGES = ("refuse", "silent", "shut")
@@ -48,8 +49,8 @@
 )
 
 
-def soak_scenario(seed: int, relays: int, length_s: float) -> Scenario:
-    """Generate the scenario of a seed."""
+def soak_scenario(seed: int, relays: int, length_s: float, repeats: bool = False) -> Scenario:
+    """Generate the scenario of a seed; ``repeats`` adds hosts and a platform that write answers twice."""
     rng = random.Random(f"soak {seed}")
     profile = PROFILES[seed % len(PROFILES)]
     count = min(relays, CROWD_RELAYS) if profile.idle_connections else relays
@@ -59,6 +60,8 @@
     events += _signals(rng, events, count, length_s)
     if profile.other_faults:
         events += _other_faults(rng, length_s)
+    if repeats:
+        events += draw_repeats(random.Random(f"soak repeats {seed}"), length_s)
     if profile.idle_connections:
         events.append({"at_s": 3.0, "what": "crowd", "len_s": length_s / 2, "count": CROWD_SOCKETS})
     tables: dict[str, Any] = {
--- a/mallowlug/rig/soak/run.py
+++ b/mallowlug/rig/soak/run.py
@@ -63,10 +63,10 @@
         raise SoakError(f"{relays} relays, where 1 to {maximum} fit this machine")
 
 
-def soak_seed(seed: int, relays: int, length_s: float, folder: Path) -> SeedResult:
+def soak_seed(seed: int, relays: int, length_s: float, folder: Path, repeats: bool = False) -> SeedResult:
     """Run and judge one seed; delete its folder unless it failed."""
     check_size(relays)
-    done = asyncio.run(play(soak_scenario(seed, relays, length_s), folder, RunOptions()))
+    done = asyncio.run(play(soak_scenario(seed, relays, length_s, repeats), folder, RunOptions()))
     record = rec.read(done.path)
     verdict = judge(record)
     result = SeedResult(
@@ -78,8 +78,10 @@
     return result
 
 
-def soak(seeds: Iterable[int], relays: int, length_s: float, out: Path) -> Iterator[SeedResult]:
+def soak(
+    seeds: Iterable[int], relays: int, length_s: float, out: Path, repeats: bool = False
+) -> Iterator[SeedResult]:
     """Run seeds in sequence; failed ones keep their records under ``out``."""
     check_size(relays)
     for seed in seeds:
-        yield soak_seed(seed, relays, length_s, out / f"seed-{seed}")
+        yield soak_seed(seed, relays, length_s, out / f"seed-{seed}", repeats)
--- a/mallowlug/rig/world/hosts.py
+++ b/mallowlug/rig/world/hosts.py
@@ -11,6 +11,7 @@
 from mallowlug.rig.world.draw import HostPlan
 from mallowlug.rig.world.host_model import HostModel, Job, KeyMemory, Refusal, call_work_s, first_uses
 from mallowlug.rig.world.httpd import AddressAllocator, Connection, Request, Server
+from mallowlug.rig.world.repeats import AnswerRepeater
 
 NOT_HTTP = b"\x00\x13\xff not an answer \x80" * 8
 
@@ -95,6 +96,7 @@
         # By class: share of slow messages, factor of their work.
         self.heavy_tails: dict[str, tuple[float, float]] = {}
         self.corrupt_share = 0.0  # share of answers that are corrupt
+        self.repeater = AnswerRepeater()
         self.bad_calls = 0
 
     def record_bad_call(self, detail: str) -> None:
@@ -145,6 +147,19 @@
     def request_malformed(self, connection: Connection) -> None:
         self.context.record_bad_call(f"{self.plan.name}: malformed request")
 
+    def request_overlapped(self, connection: Connection) -> None:
+        if call := self.calls_in_progress.get(connection):
+            self.context.writer.add(rec.CallOverlapped(self.context.writer.now, call.number))
+
+    def answer_written(self, connection: Connection) -> None:
+        self.context.repeater.answer_written(connection, self._record_repeat)
+
+    def _record_repeat(self, connection: Connection) -> None:
+        call = self.calls_in_progress.get(connection)
+        number = call.number if call else 0
+        event = rec.AnswerRepeated(self.context.writer.now, self.plan.name, connection.number, number)
+        self.context.writer.add(event)
+
     def request_received(self, request: Request) -> None:
         """Accept or refuse a call; while the endpoint is silent, accept it and never answer."""
         connection, context = request.connection, self.context
--- a/mallowlug/rig/world/httpd.py
+++ b/mallowlug/rig/world/httpd.py
@@ -41,6 +41,9 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self.streaming = False
+        self.last_answers = b"", b""  # the last answer and the one before it
+        self._unanswered = False  # whether a complete request waits for its answer
+        self._overlap_reported = False  # whether more data came before that answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -58,10 +61,18 @@
         try:
             self._parser.receive_data(data)
             self._read_events()
+            self._report_overlap()
         except h11.RemoteProtocolError:
             self.server.request_malformed(self)
             self.close()
 
+    def _report_overlap(self) -> None:
+        """Report, once, a request that begins before the one ahead of it is answered."""
+        overlaps = self._unanswered and not self.streaming and bool(self._parser.trailing_data[0])
+        if overlaps and not self._overlap_reported:
+            self._overlap_reported = True
+            self.server.request_overlapped(self)
+
     def _read_events(self) -> None:
         while True:
             event = self._parser.next_event()
@@ -78,7 +89,7 @@
 
     def _finish_request(self) -> None:
         assert self._head is not None
-        assert self._first_byte_s is not None
+        now_s = self.server.now()
         self.requests += 1
         request = Request(
             self,
@@ -86,11 +97,12 @@
             self._head.target.decode(),
             {name.decode(): value.decode("latin-1") for name, value in self._head.headers},
             bytes(self._body),
-            self._first_byte_s,
-            self.server.now(),
+            # Unknown if the request arrived in one piece with the one before it.
+            now_s if self._first_byte_s is None else self._first_byte_s,
+            now_s,
         )
         self._body.clear()
-        self._first_byte_s = None
+        self._first_byte_s, self._unanswered = None, True
         self.server.request_received(request)
 
     @property
@@ -108,6 +120,9 @@
             data += self._parser.send(h11.Data(data=body)) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
         self.write_raw(data)
+        self._unanswered = self._overlap_reported = False
+        self.last_answers = data, self.last_answers[0]
+        self.server.answer_written(self)
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
             self._read_events()
@@ -197,3 +212,9 @@
     def request_received(self, request: Request) -> None:
         """Handle a complete request."""
         raise NotImplementedError
+
+    def request_overlapped(self, connection: Connection) -> None:
+        """Handle a request that begins before the one ahead of it on the connection is answered."""
+
+    def answer_written(self, connection: Connection) -> None:
+        """Handle the end of an answer."""
--- a/mallowlug/rig/world/platform.py
+++ b/mallowlug/rig/world/platform.py
@@ -13,6 +13,7 @@
 
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.world.httpd import AddressAllocator, Connection, Request, Server
+from mallowlug.rig.world.repeats import AnswerRepeater
 
 HEARTBEAT_S = 1.5  # s between empty lines that keep a watch alive
 HEALTH_BY_STATE: dict[str, Any] = {"ready": "SERVING", "draining": "DRAINING", "gone": "DELETED"}
@@ -57,6 +58,7 @@
         self.down = False
         self.dial_address: Callable[[str], str] = str  # endpoint name to the address this relay connects to
         self.watches: dict[Connection, None] = {}
+        self.repeater = AnswerRepeater()
         self.last_sent = {
             "seq": 0,
             "whole": True,
@@ -99,6 +101,13 @@
                 self._withheld.clear()
                 self.writer.add(rec.WatchChange(self.writer.now, self.relay, False))
 
+    def answer_written(self, connection: Connection) -> None:
+        self.repeater.answer_written(connection, self._record_repeat)
+
+    def _record_repeat(self, connection: Connection) -> None:
+        event = rec.AnswerRepeated(self.writer.now, f"platform of {self.relay}", connection.number)
+        self.writer.add(event)
+
     def request_received(self, request: Request) -> None:
         """Serve the list, a watch or notices; notices are accepted even while discovery is down."""
         if request.method == "POST" and request.target == "/v1/notices":
@@ -183,7 +192,7 @@
             rng,
             addresses or AddressAllocator(),
         )
-        self.directory = EndpointDirectory()
+        self.directory, self.repeater = EndpointDirectory(), AnswerRepeater()
         self.servers: dict[str, DiscoveryServer] = {}  # by relay
         self.former_servers: list[DiscoveryServer] = []
         self.on_notice: Callable[[rec.Notice], None] = lambda _notice: None
@@ -193,6 +202,7 @@
         """Start discovery at a new address for a relay; a previous server runs until it is stopped."""
         server = DiscoveryServer(relay, self.directory, self.writer, self._forward_notice, self._addresses)
         server.dial_address = lambda host: self.dial_address(relay, host)
+        server.repeater = self.repeater
         if previous := self.servers.get(relay):
             server.last_sent, server.down = previous.last_sent, previous.down
             self.former_servers.append(previous)
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -12,6 +12,7 @@
 from pydantic import AfterValidator, Field, model_validator
 
 from mallowlug import toml_check
+from mallowlug.rig.world.repeats import RepeatForm
 
 
 def check_range(values: tuple[float, ...]) -> tuple[float, ...]:
@@ -87,6 +88,7 @@
     warm_s: Range = (10, 13)
     network_ms: Range = (0, 0)
     idle_s: float = Field(default=15.0, gt=0)
+    repeats: bool = False  # seeds include hosts and a platform that write answers twice
 
 
 class ClientsTable(toml_check.Strict):
@@ -185,6 +187,8 @@
     ``dest``. ``drain``, ``remove`` and ``replace`` change ``count`` endpoints in the directory.
     ``heavy_tail`` makes ``part`` of a class ``size`` times as long, ``directory_out`` takes the directory
     down, ``garble`` corrupts ``part`` of the answers, ``rude`` starts ``count`` malformed clients.
+    ``repeat`` writes ``part`` of the answers of hosts, or of the directory and the notices (``between``),
+    once more ``after_ms``: whole, or as ``form`` says.
     ``delay``, ``cut``, ``silence`` and ``drip`` affect the links ``between`` two parts. Only in the
     simulation: ``stall`` suspends a relay, ``jump`` moves its wall clock by ``size`` seconds (``back``
     for the past), ``full`` fills its disk, ``apart`` isolates it from the network, ``power`` cuts its
@@ -203,7 +207,7 @@
         "kill", "term", "hup", "wipe", "move",
         "refuse", "silent", "slow", "shut", "heavy_tail",
         "drain", "remove", "replace", "directory_out", "garble", "rude", "crowd",
-        "delay", "cut", "silence", "drip", "stall", "jump", "full", "apart",
+        "repeat", "delay", "cut", "silence", "drip", "stall", "jump", "full", "apart",
         "power", "upgrade", "out", "reload",
     ]  # fmt: skip
     len_s: float = Field(default=0.0, ge=0)
@@ -215,6 +219,8 @@
     cls: str = ""
     between: Literal["hosts", "directory", "clients"] = "hosts"
     after_bytes: int = Field(default=0, ge=0)
+    after_ms: Range = (3.0, 14.0)
+    form: RepeatForm = "whole"
     back: bool = False
     file: Literal["same", "classes", "deadlines", "broken"] = "same"
     unsaid: bool = False
@@ -306,6 +312,8 @@
                 raise ValueError(f"event.{at}.relay: there are {self.relays.count} relays, from 0")
             if event.dest >= partners.destinations:
                 raise ValueError(f"event.{at}.dest: there are {partners.destinations}, from 0")
+            if event.what == "repeat" and event.between == "clients":
+                raise ValueError(f"event.{at}.between: only hosts and directory repeat answers")
             if event.what == "power" and not self.relays.durable:
                 raise ValueError(f"event.{at}.what: relays.durable is off, so no data survives a power loss")
             if event.what in ("upgrade", "out") and not self.relays.console:
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -54,6 +54,16 @@
     return story.call(at, "m", host=host)
 
 
+def on_one_connection(second_at: int, first: str = "delivered") -> Story:
+    """Two calls on one connection, the first one from 5 to 55 ms, the second one from ``second_at`` ms on."""
+    story = Story().ask(0, "m", "unsafe").ask(1, "o", "unsafe").call(5, "m", end=first)
+    story.call(second_at, "o").notice(200, "m")
+    for at, event in enumerate(story.events):
+        if isinstance(event, rec.Call):
+            story.events[at] = msgspec.structs.replace(event, connection=7)
+    return story
+
+
 def restart_story(tried: int, given: int, at: int = 1510, ready: int = 1500) -> Story:
     """A restart that recovers messages without an attempt: ``tried`` delivered, ``given`` given up."""
     story = Story().add(rec.ProcessEvent(500 * MS, "n0", "kill"), rec.ProcessEvent(501 * MS, "n0", "exit"))
@@ -103,6 +113,12 @@
         "sent before its refusal was written": lambda: Story()
         .ask(0, "m", "unsafe").call(5, "m", end="refused", took=100).call(50, "m", took=10),
     },
+    "overlap": {
+        "a call begins before the one ahead of it is answered": lambda: on_one_connection(30),
+        "a call begins while the one ahead of it is never answered": lambda: on_one_connection(30, "gone"),
+        "a call that never becomes complete": lambda: Story()
+        .ask(0, "m").call(5, "m", took=100).add(rec.CallOverlapped(50 * MS, 1)),
+    },
     "untried": {
         "most recovered messages given up at once": lambda: restart_story(11, 13),
         "given up only at their deadline": lambda: restart_story(10, 12, at=12_050),
@@ -303,6 +319,7 @@
     .add(rec.ProcessEvent(100 * MS, "n0", "exit"), rec.ProcessEvent(1400 * MS, "n0", "ready")),
     "cut by a crash that is noticed late": lambda: Story()
     .ask(0, "m", said="").add(rec.ClientOutcome(5 * MS, "m", "cut"), rec.ProcessEvent(90 * MS, "n0", "exit")),
+    "calls in turn on one connection": lambda: on_one_connection(56),
     "a restart ends a wait": lambda: Story()
     .ask(0, "m").call(5, "m", end="refused", wait=2000).call(1500, "m")
     .add(rec.ProcessEvent(SECOND, "n0", "kill"), rec.ProcessEvent(1400 * MS, "n0", "ready")),
