--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -98,21 +98,36 @@
         for name in islice(
             (name for name in candidates if name not in (*spool_files, self._name)), MAX_NAME_ATTEMPTS
         ):
-            path, new = self._folder / name, self._folder / f"{UNFINISHED_PREFIX}{name}"
-            lock = Lock(new, self._disk)
-            if lock.acquire():
+            if (lock := self._create_locked(name)) is not None:
                 break
-        else:  # the owner's clean-up may lock one of the names for a moment, hardly all of them
+        else:  # the owner's clean-up may take one of the names, hardly all of them
             return False
         self._name = name
-        # Locked before the rename: else the owner could find the file unlocked, take its writer for dead and
-        # remove it.
-        self._disk.replace(new, path)
         if self._durable:
             self._disk.sync_folder(self._folder)
-        self._lock, self._fd, self._size = lock, self._disk.open(path, APPEND), 0
+        self._lock, self._fd, self._size = lock, self._disk.open(self._folder / name, APPEND), 0
         return True
 
+    def _create_locked(self, name: str) -> Lock | None:
+        """Create an empty spool file, locked; return None if the owner's clean-up came in between.
+
+        Locked before the rename: else the owner could find the file unlocked, take its writer for dead and
+        remove it. Before the lock it can still remove the unfinished file.
+        """
+        unfinished = self._folder / f"{UNFINISHED_PREFIX}{name}"
+        lock = Lock(unfinished, self._disk)
+        if not lock.acquire():
+            return None
+        try:
+            self._disk.replace(unfinished, self._folder / name)
+        except FileNotFoundError:
+            lock.release()
+            return None
+        except OSError:
+            lock.release()
+            raise
+        return lock
+
     def close(self) -> None:
         """Close the current file and release its lock; the owner reads the rest of it."""
         if self._lock is not None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,11 +15,12 @@
 import pytest
 
 from mallowlug.core.handover import HandoverState
+from mallowlug.core.model import Accepted, Submission
 from mallowlug.core.reserved_space import LARGE_FOLDER
 from mallowlug.system import POSIX, PosixDisk
 from mallowlug.upgrade import handover_file
 from mallowlug.upgrade.locks import Lock, OwnershipLocks
-from mallowlug.upgrade.spool import SpoolReader
+from mallowlug.upgrade.spool import SpoolReader, SpoolWriter, read_spooled_message
 from tests.world import ROOT, Client, World, delivered, free_port, http_request, silent, soon
 
 Process = asyncio.subprocess.Process
@@ -419,6 +420,33 @@
     lock.release()
 
 
+class CleanupBeforeLockDisk(PosixDisk):
+    """A disk on which the owner's clean-up runs once between a new file's creation and its lock."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.cleaned = folder, False
+
+    def lock(self, fd: int) -> bool:  # type: ignore[override]
+        if not self.cleaned:
+            self.cleaned = True
+            SpoolReader(self.folder, POSIX.disk).remove_unfinished_files()
+        return PosixDisk.lock(fd)
+
+
+def test_message_is_accepted_though_cleanup_removed_its_new_spool_file(tmp_path: Path) -> None:
+    disk = CleanupBeforeLockDisk(tmp_path)
+    core = Mock()
+    core.clock.return_value, core.knows.return_value, core.reject_reason.return_value = 1, False, None
+    core.rules_record.return_value = {}
+    writer = SpoolWriter(tmp_path, disk, core)
+    submission = Submission("m1", 1, "safe", 10)
+    assert isinstance(writer.submit(submission, b"x"), Accepted)
+    assert disk.cleaned
+    [spooled] = tmp_path.glob("door.*")
+    message = read_spooled_message(spooled.read_bytes(), 0)
+    assert message is not None and message.submission == submission
+
+
 class NoDescriptorsDisk(PosixDisk):
     """A disk on which no descriptor is free."""
 
