--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -11,7 +11,7 @@
 from mallowlug.core.model import PartOutcome
 from mallowlug.net.http import Connection
 from mallowlug.net.responses import ResponseHead, ResponseParser
-from mallowlug.partners.http_calls import parse_load_report, parse_retry_after_us, verdict_of
+from mallowlug.partners.verdicts import parse_load_report, parse_retry_after_us, verdict_of
 from mossfront.interface import Listing, Verdict
 from tests.calls import HostCalls, start_host
 from tests.world import delivered, silent, soon
