--- a/mallowlug/core/reasons.py
+++ b/mallowlug/core/reasons.py
@@ -48,6 +48,7 @@
     NO_MORE_CALLS = "its host gets no more calls"
     POLICY = "the next call opens a fresh one"
     IDLE = "idle too long, or ended by the host"
+    UNSOLICITED = "data that no call asked for"
     DESCRIPTOR_NEEDED = "its descriptor is needed"
     SHUTTING_DOWN = "the relay ends"
 
--- a/mallowlug/net/http.py
+++ b/mallowlug/net/http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable
+from enum import Enum
 
 from mallowlug.core.model import Address
 from mallowlug.net.responses import CorruptResponseError, ResponseHead, ResponseParser
@@ -14,6 +16,15 @@
 # From a response's first byte to its last: servers write it at once; a slower one counts as endless.
 RESPONSE_TIMEOUT_S = 0.5
 READ_BYTES = 64 * 1024
+CONNECTION_NUMBERS = itertools.count(1)  # of this process, for log lines
+
+
+class Pending(Enum):
+    """What the server has sent beside the response to the last request."""
+
+    NOTHING = "nothing"
+    DATA = "data"  # that no request asked for
+    END = "end of stream, or a reset"
 
 
 class Connection:
@@ -21,6 +32,7 @@
 
     def __init__(self, sock: socket.socket, address: Address = ("localhost", 0)) -> None:
         self.sock, self.address, self.unsent = sock, address, 0
+        self.number = next(CONNECTION_NUMBERS)
         # Passed to the loop instead of the socket: looking up an unknown socket formats its name in an
         # exception, which costs two system calls.
         self.fd = sock.fileno()
@@ -166,17 +178,25 @@
 
     def no_unsolicited_data(self) -> bool:
         """Whether neither unrequested data nor the server's end of stream was received."""
-        return not self._parser.has_extra_data and self._receive_queue_empty()
+        return self.pending() is Pending.NOTHING
+
+    def pending(self) -> Pending:
+        """Return what was received beside the response to the last request."""
+        return Pending.DATA if self._parser.has_extra_data else self._peek()
 
     def _receive_queue_empty(self) -> bool:
         """Whether the kernel holds neither data nor the server's end of stream."""
+        return self._peek() is Pending.NOTHING
+
+    def _peek(self) -> Pending:
+        """Return what the kernel holds for this connection."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            data = self.sock.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
-            return True
+            return Pending.NOTHING
         except OSError:
-            return False
-        return False
+            return Pending.END
+        return Pending.DATA if data else Pending.END
 
     def close(self) -> None:
         """Close the connection and abandon any call on it."""
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -14,7 +14,7 @@
 from mallowlug.core.model import Call, EndpointList, Part, PartOutcome, ResolvedEndpoint
 from mallowlug.core.ports import PartReleased, PartSettled
 from mallowlug.core.reasons import Event, HostClose, Reasons
-from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers
+from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers, Pending
 from mallowlug.net.responses import CorruptResponseError
 from mallowlug.partners.verdicts import (
     MAX_RETRY_AFTER_MS,
@@ -28,6 +28,11 @@
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
+CLOSE_REASONS = {
+    Pending.NOTHING: HostClose.IDLE,
+    Pending.DATA: HostClose.UNSOLICITED,
+    Pending.END: HostClose.IDLE,
+}
 SINGLE_TARGET, BATCH_TARGET = "/hook", "/hook/batch"
 MAX_BODY_BYTES = 64 * 1024  # of a response
 # Fraction of the hosts' keep-alive time: a connection idle for longer may be closed by the host while a
@@ -62,6 +67,16 @@
         return self.connection is not None and self.connection.response_started
 
 
+@dataclass(frozen=True, slots=True)
+class LastAnswer:
+    """The last call that was answered on a connection: its first message, its number there, and when."""
+
+    message_id: str
+    attempt: int
+    calls: int
+    at_s: float
+
+
 def build_request(connection: Connection, parts: list[Part], remaining_s: float) -> bytes:
     """Build the request for one message or a batch; ``remaining_s`` is how long the relay will wait."""
     remaining = ("X-Remaining", f"{max(1, int(remaining_s * 1000))}m")
@@ -104,6 +119,7 @@
         self._listed: dict[str, ResolvedEndpoint] = {}
         self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: loop time until which no call may be sent
+        self._last_answers: dict[Connection, LastAnswer] = {}
         self.messages_written = 0
         self._disabled: set[str] = set()  # by an operator, whether listed or not
         self.exchanges: dict[Exchange, None] = {}  # a dict keeps the order for close()
@@ -249,8 +265,20 @@
         if part in exchange.part_timers:
             exchange.part_timers.pop(part).cancel()
         if outcome is not None:
+            if LOG.isEnabledFor(logging.DEBUG):
+                self._log_outcome(exchange, part, outcome)
             self._on_settled(exchange.call, part, outcome)
 
+    @staticmethod
+    def _log_outcome(exchange: Exchange, part: Part, outcome: PartOutcome) -> None:
+        """Log an attempt's outcome with the connection that it came on (0: none was open)."""
+        host, number = exchange.call.host, exchange.connection.number if exchange.connection else 0
+        LOG.debug(
+            "hosts: %s connection %d: message %s attempt %d: %s",
+            host, number, part.id, part.attempt, outcome.verdict.value,
+            extra={"host": host, "message_id": part.id},
+        )  # fmt: skip
+
     def _stop_part(self, exchange: Exchange, part: Part, verdict: Verdict) -> None:
         """Settle one part before its response; the last one also ends the call and closes the connection."""
         if part.settled:
@@ -292,7 +320,8 @@
             if exchange.timer is not None:
                 exchange.timer.cancel()
             if exchange.connection is not None and not keep_connection:
-                self._close(host, exchange.connection, reason)
+                unsolicited = reason is HostClose.NOT_KEPT and exchange.connection.pending() is Pending.DATA
+                self._close(host, exchange.connection, HostClose.UNSOLICITED if unsolicited else reason)
             self.exchanges.pop(exchange, None)
             for part in exchange.call.open:
                 self._settle(exchange, part, self._delivered_by_status_line(exchange) or outcome)
@@ -346,6 +375,9 @@
         # Any other response counts only when complete: a status that means "never ran" proves nothing if the
         # body shows that the response is corrupt, since the request may have run.
         body = await connection.read_body(MAX_BODY_BYTES)
+        previous = self._last_answers.get(connection)
+        first, calls = exchange.sent_parts[0], previous.calls + 1 if previous else 1
+        self._last_answers[connection] = LastAnswer(first.id, first.attempt, calls, self._now_s())
         batch_results = (
             parse_batch_results(body, parts) if response.status == STATUS_DELIVERED and parts else {}
         )
@@ -375,9 +407,10 @@
             connection, timer = idle.pop()
             asyncio.get_running_loop().remove_reader(connection.fd)
             timer.cancel()
-            if connection.no_unsolicited_data():
+            pending = connection.pending()
+            if pending is Pending.NOTHING:
                 return connection
-            self._close(host, connection, HostClose.IDLE)
+            self._close(host, connection, CLOSE_REASONS[pending])
         return None
 
     def _close_excess_idle(self) -> None:
@@ -405,7 +438,7 @@
         """Close an idle connection that has timed out or that the host has closed."""
         for item in [item for item in self._idle.get(host, []) if item[0] is connection]:
             self._idle[host].remove(item)
-            self._close_kept(host, *item, HostClose.IDLE)
+            self._close_kept(host, *item, CLOSE_REASONS[connection.pending()])
 
     def _close_kept(
         self, host: str, connection: Connection, timer: asyncio.TimerHandle, reason: HostClose
@@ -417,5 +450,27 @@
 
     def _close(self, host: str, connection: Connection, reason: HostClose) -> None:
         self._reasons.counts[Event.HOST_CLOSE, reason] += 1
-        LOG.debug("hosts: %s: closed: %s", host, reason, extra={"host": host})
+        if reason is HostClose.UNSOLICITED:
+            self._log_unsolicited(host, connection)
+        else:
+            LOG.debug(
+                "hosts: %s connection %d: closed: %s", host, connection.number, reason, extra={"host": host}
+            )
+        self._last_answers.pop(connection, None)
         connection.close()
+
+    def _log_unsolicited(self, host: str, connection: Connection) -> None:
+        """Log the connection and the outcome before the data: the data may have been that call's answer."""
+        answer = self._last_answers.get(connection)
+        if answer is None:
+            LOG.info(
+                "hosts: %s connection %d: closed: %s, before any request",
+                host, connection.number, HostClose.UNSOLICITED, extra={"host": host},
+            )  # fmt: skip
+            return
+        age_ms = (self._now_s() - answer.at_s) * 1000
+        LOG.info(
+            "hosts: %s connection %d: closed: %s, %.0f ms behind call %d (message %s attempt %d)",
+            host, connection.number, HostClose.UNSOLICITED, age_ms, answer.calls, answer.message_id,
+            answer.attempt, extra={"host": host, "message_id": answer.message_id},
+        )  # fmt: skip
--- a/tests/test_corrupt_responses.py
+++ b/tests/test_corrupt_responses.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 
 import pytest
 
+from mallowlug.core.reasons import Event, HostClose
 from mallowlug.net import http
 from mossfront.interface import Verdict
 from tests.calls import HostCalls, start_host
@@ -216,3 +218,22 @@
     calls.send("m1")
     assert (await calls.outcome("m1")).verdict is Verdict.ERROR
     host.stop()
+
+
+async def test_unsolicited_data_is_counted_and_logged_with_the_call_before_it(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "mallowlug")
+    host = await start_host()
+    calls = HostCalls(host.port)
+    host.script.append(write_response(OK + OK, True))
+    exchange = calls.send("m1")
+    await calls.outcome("m1")
+    while calls.hosts.exchanges:
+        await asyncio.sleep(0.01)
+    reason = HostClose.UNSOLICITED
+    assert calls.hosts._reasons.total(Event.HOST_CLOSE)[reason] == 1
+    assert exchange.connection is not None
+    [line] = [record.getMessage() for record in caplog.records if reason in record.getMessage()]
+    assert f"h1 connection {exchange.connection.number}:" in line and "(message m1 attempt 0)" in line
+    host.stop()
