--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -27,6 +27,7 @@
 from mallowlug.ends.notices import HttpNotifier
 from mallowlug.fronts.resp2 import Resp2Server
 from mallowlug.partners.http_calls import HttpPartners
+from mallowlug.partners.pool import PoolLimits
 from mallowlug.system import System
 from mossfront.interface import Settings
 
@@ -89,13 +90,11 @@
     return Adapters(
         partners=lambda settled, released: HttpPartners(
             cfg.settings.kinds,
-            cfg.settings.keepalive_us,
             cfg.connect_timeout_us,
-            min(cfg.sockets // 4, max_calls),
+            PoolLimits(cfg.settings.keepalive_us, min(cfg.sockets // 4, max_calls), max_calls),
             settled=settled,
             released=released,
             system=system,
-            max_open=max_calls,
             reasons=reasons,
         ),
         directory=lambda on_update, failed: DirectoryWatch(
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -16,6 +16,7 @@
 from mallowlug.core.reasons import Event, HostClose, Reasons
 from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers, Pending
 from mallowlug.net.responses import CorruptResponseError
+from mallowlug.partners.pool import ConnectionPool, PoolLimits
 from mallowlug.partners.verdicts import (
     MAX_RETRY_AFTER_MS,
     STATUS_DELIVERED,
@@ -28,16 +29,8 @@
 from mossfront.interface import Kind, Listing, Verdict
 
 LOG = logging.getLogger(__name__)
-CLOSE_REASONS = {
-    Pending.NOTHING: HostClose.IDLE,
-    Pending.DATA: HostClose.UNSOLICITED,
-    Pending.END: HostClose.IDLE,
-}
 SINGLE_TARGET, BATCH_TARGET = "/hook", "/hook/batch"
 MAX_BODY_BYTES = 64 * 1024  # of a response
-# Fraction of the hosts' keep-alive time: a connection idle for longer may be closed by the host while a
-# request is being sent.
-IDLE_TIMEOUT_FRACTION = 0.9
 
 
 @dataclass(slots=True, eq=False)
@@ -97,27 +90,20 @@
     def __init__(
         self,
         kinds: Iterable[Kind],
-        keepalive_us: int,
         connect_timeout_us: int,
-        max_idle: int,
+        limits: PoolLimits,
         *,
         settled: PartSettled,
         released: PartReleased,
         system: System,
-        max_open: int = 1 << 16,
         reasons: Reasons | None = None,
     ) -> None:
-        """``max_idle`` limits the connections kept between calls, ``max_open`` these and those in use."""
         self._now_s, self._system = asyncio.get_running_loop().time, system
         self._kinds = {kind.name: kind for kind in kinds}
-        self._idle_timeout_s, self._connect_timeout_s = (
-            keepalive_us / 1e6 * IDLE_TIMEOUT_FRACTION,
-            connect_timeout_us / 1e6,
-        )
-        self._max_open, self._reasons = max_open, reasons or Reasons()
-        self._max_idle, self._on_settled, self._on_released = max_idle, settled, released
+        self._connect_timeout_s, self._reasons = connect_timeout_us / 1e6, reasons or Reasons()
+        self._on_settled, self._on_released = settled, released
+        self.pool = ConnectionPool(limits, self._close)
         self._listed: dict[str, ResolvedEndpoint] = {}
-        self._idle: dict[str, list[tuple[Connection, asyncio.TimerHandle]]] = {}
         self._waits: dict[str, float] = {}  # by route: loop time until which no call may be sent
         self._last_answers: dict[Connection, LastAnswer] = {}
         self.messages_written = 0
@@ -247,8 +233,7 @@
 
     def close_idle(self, host: str, reason: HostClose = HostClose.POLICY) -> None:
         """Close the idle connections to a host."""
-        for connection, timer in self._idle.pop(host, []):
-            self._close_kept(host, connection, timer, reason)
+        self.pool.close_host(host, reason)
 
     def close(self) -> None:
         """Abort all calls and settle nothing: attempts in progress stay in the journal as they are."""
@@ -257,8 +242,7 @@
                 self._settle(exchange, part, None)
             if exchange.task is not None:
                 exchange.task.cancel()
-        for host in list(self._idle):
-            self.close_idle(host, HostClose.SHUTTING_DOWN)
+        self.pool.close_all(HostClose.SHUTTING_DOWN)
 
     def _settle(self, exchange: Exchange, part: Part, outcome: PartOutcome | None) -> None:
         part.settled = True
@@ -342,7 +326,7 @@
     async def _perform(self, exchange: Exchange) -> bool:
         """Connect, send the request, read the response; return whether the connection was kept for reuse."""
         host = exchange.call.host
-        connection = self._take_idle(host) or await self._open(host)
+        connection = self.pool.take(host) or await self._open(host)
         exchange.connection = connection
         # While connecting, a Retry-After wait or a drain may have been received; it applies to this write.
         blocked, parts = self.blocking_outcome(host), exchange.call.open
@@ -353,13 +337,13 @@
         if blocked is not None:
             for part in parts:
                 self._settle(exchange, part, blocked)
-            return self._keep_idle(host, connection)
+            return self._may_call(host) and self.pool.keep(host, connection)
         for part in list(parts):  # a part's deduplication window may have passed, too
             if part.start_within_us and self._now_s() > exchange.call.sent_s + part.start_within_us / 1e6:
                 self._settle(exchange, part, PartOutcome(Verdict.NOT_SENT))
                 parts.remove(part)
         if not parts:
-            return self._keep_idle(host, connection)
+            return self._may_call(host) and self.pool.keep(host, connection)
         exchange.sent_parts = parts
         await connection.send(build_request(connection, parts, exchange.end_s - self._now_s()))
         self.messages_written += len(parts)
@@ -385,7 +369,7 @@
             self._settle_from_response(
                 exchange, part, part_outcome(response, batch_results.get(part.id), wait_us, report)
             )
-        return self._keep_idle(host, connection)
+        return self._may_call(host) and self.pool.keep(host, connection)
 
     def _settle_from_response(self, exchange: Exchange, part: Part, outcome: PartOutcome) -> None:
         """Settle a part; one that was settled by its own time limit is updated only by a final outcome."""
@@ -396,58 +380,10 @@
         listed = self._listed.get(host)
         if listed is None:
             raise ConnectionError("no longer listed")
-        self._close_excess_idle()
+        self.pool.make_room(len(self.exchanges))
         async with asyncio.timeout(self._connect_timeout_s):
             return await Connection.open(listed.address, self._system)
 
-    def _take_idle(self, host: str) -> Connection | None:
-        """Take the most recently used idle connection that the host has not closed."""
-        idle = self._idle.get(host, [])
-        while idle:
-            connection, timer = idle.pop()
-            asyncio.get_running_loop().remove_reader(connection.fd)
-            timer.cancel()
-            pending = connection.pending()
-            if pending is Pending.NOTHING:
-                return connection
-            self._close(host, connection, CLOSE_REASONS[pending])
-        return None
-
-    def _close_excess_idle(self) -> None:
-        """Close the idle connections that expire first, so that a new one gets a file descriptor."""
-        while any(self._idle.values()) and sum(map(len, self._idle.values())) + len(self.exchanges) > (
-            self._max_open
-        ):
-            candidates = [(host, idle) for host, idle in self._idle.items() if idle]
-            host, connections = min(candidates, key=lambda item: item[1][0][1].when())
-            self._close_kept(host, *connections.pop(0), HostClose.DESCRIPTOR_NEEDED)
-
-    def _keep_idle(self, host: str, connection: Connection) -> bool:
-        """Keep a connection for reuse until it times out or the host closes it; return whether it is kept."""
-        if not self._may_call(host) or not connection.reusable():
-            return False
-        if sum(map(len, self._idle.values())) >= self._max_idle:
-            return False
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._idle_timeout_s, self._discard_idle, host, connection)
-        loop.add_reader(connection.fd, self._discard_idle, host, connection)
-        self._idle.setdefault(host, []).append((connection, timer))
-        return True
-
-    def _discard_idle(self, host: str, connection: Connection) -> None:
-        """Close an idle connection that has timed out or that the host has closed."""
-        for item in [item for item in self._idle.get(host, []) if item[0] is connection]:
-            self._idle[host].remove(item)
-            self._close_kept(host, *item, CLOSE_REASONS[connection.pending()])
-
-    def _close_kept(
-        self, host: str, connection: Connection, timer: asyncio.TimerHandle, reason: HostClose
-    ) -> None:
-        """Close an idle connection and remove its reader and timer."""
-        asyncio.get_running_loop().remove_reader(connection.fd)
-        timer.cancel()
-        self._close(host, connection, reason)
-
     def _close(self, host: str, connection: Connection, reason: HostClose) -> None:
         self._reasons.counts[Event.HOST_CLOSE, reason] += 1
         if reason is HostClose.UNSOLICITED:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -12,6 +12,7 @@
 from mallowlug.ends.notices import HttpNotifier
 from mallowlug.fronts.resp2 import Resp2Server
 from mallowlug.partners.http_calls import HttpPartners
+from mallowlug.partners.pool import PoolLimits
 from mallowlug.system import POSIX
 from mossfront.interface import Listing
 from tests import world
@@ -96,7 +97,7 @@
 class TestHttpCalls(PartnersContract):
     def partners(self, settled: PartSettled) -> Partners:
         callbacks: Any = {"settled": settled, "released": lambda _part: None}
-        return HttpPartners([KIND], 15_000_000, 10_000_000, 10, **callbacks, system=POSIX)
+        return HttpPartners([KIND], 10_000_000, PoolLimits(15_000_000, 10), **callbacks, system=POSIX)
 
     async def peer(self) -> HttpPeer:
         server = HttpServer(delivered)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,6 +11,7 @@
 
 from mallowlug.core.descriptors import MIN_SOCKETS, split_descriptors
 from mallowlug.core.model import Call, EndpointList, Part, ResolvedEndpoint
+from mallowlug.partners.pool import PoolLimits
 from mossfront.interface import EndpointEntry, Listing, Verdict
 from tests.calls import HostCalls, start_host
 from tests.world import World, silent
@@ -36,8 +37,7 @@
 async def test_new_connection_replaces_the_least_recently_used_idle_one() -> None:
     """Each destination's connection is kept for the next call until its descriptor is needed."""
     hosts = [await start_host() for _ in range(3)]
-    calls = HostCalls(hosts[0].port)
-    calls.hosts._max_open = 2
+    calls = HostCalls(hosts[0].port, limits=PoolLimits(15_000_000, 10, max_open=2))
     rows = [
         ResolvedEndpoint(EndpointEntry(f"h{n}", n, "a", "banks", Listing.READY), ("127.0.0.1", host.port))
         for n, host in enumerate(hosts)
@@ -49,7 +49,7 @@
         assert (await calls.outcome(ref)).verdict is Verdict.OK
         while calls.hosts.exchanges:
             await asyncio.sleep(0)
-    assert {host: len(idle) for host, idle in calls.hosts._idle.items() if idle} == {"h1": 1, "h2": 1}
+    assert calls.hosts.pool.idle_by_host() == {"h1": 1, "h2": 1}
     assert [host.connections for host in hosts] == [1, 1, 1]
     calls.hosts.close()
     for host in hosts:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -6,6 +6,7 @@
 
 from mallowlug.core.model import EndpointList, ResolvedEndpoint
 from mallowlug.partners.http_calls import HttpPartners
+from mallowlug.partners.pool import PoolLimits
 from mallowlug.system import POSIX
 from mossfront import interface as api
 from mossfront.engine import FORGET_GONE_HOST_US, DecisionEngine
@@ -85,7 +86,7 @@
 
 async def test_expired_waits_are_dropped_at_the_next_list_change() -> None:
     callbacks: Any = {"settled": lambda *_: None, "released": lambda _part: None}
-    hosts = HttpPartners([], 15_000_000, 1_000_000, 10, **callbacks, system=POSIX)
+    hosts = HttpPartners([], 1_000_000, PoolLimits(15_000_000, 10), **callbacks, system=POSIX)
     hosts._waits = {f"h{number}": 0.0 for number in range(100)}
     hosts._waits["h100"] = float("inf")
     hosts.apply(EndpointList(1, False, (ResolvedEndpoint(entry("h1"), ("127.0.0.1", 1)),)))
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -142,7 +142,7 @@
     while host.writers:
         calls.hosts.close_idle("h1")
         await asyncio.sleep(0.01)
-    calls.hosts._idle_timeout_s = 0.05
+    calls.hosts.pool.idle_timeout_s = 0.05
     calls.send("m2")
     await calls.outcome("m2")
     while host.writers:
