--- a/mallowlug/ends/notices.py
+++ b/mallowlug/ends/notices.py
@@ -56,7 +56,6 @@
             task.cancel()
 
     async def _work(self) -> None:
-        connection: Connection | None = None
         while True:
             batch = [await self._queue.get()]
             with suppress(asyncio.QueueEmpty):
@@ -64,7 +63,7 @@
                     batch.append(self._queue.get_nowait())
             retry_delay_s, timeout_s = RETRY_DELAY_S[0], POST_TIMEOUT_S[0]
             while batch:
-                connection, status = await self._post(connection, batch, timeout_s)
+                status = await self._post(batch, timeout_s)
                 if status == 204:
                     self._confirm(batch)
                     batch = []
@@ -87,32 +86,25 @@
             self.unconfirmed -= 1
             self._on_confirmed(notice.message_id)
 
-    async def _post(
-        self, connection: Connection | None, batch: list[Notice], timeout_s: float
-    ) -> tuple[Connection | None, int]:
-        """Post a batch; return the connection if it can be reused, and the status (0: no response)."""
+    async def _post(self, batch: list[Notice], timeout_s: float) -> int:
+        """Post a batch on a connection of its own; return the status (0: no response).
+
+        On a shared connection a repeated response would confirm notices that the platform never received.
+        """
+        connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s):
-                if (
-                    connection is None
-                    or connection.address != self._address
-                    or not connection.no_unsolicited_data()
-                ):
-                    if connection is not None:
-                        connection.close()
-                    connection = await Connection.open(self._address, self._system)
+                connection = await Connection.open(self._address, self._system)
                 body = b"".join(encode_notice(notice) for notice in batch)
                 await connection.send(connection.request("POST", NOTICES_PATH, [], body))
                 status = (await connection.read_head()).status
                 await connection.read_body(MAX_RESPONSE_BYTES)
-            if connection.reusable():
-                return connection, status
+                return status
         except (*CONNECTION_ERRORS, TimeoutError) as error:
             LOG.info("notices: posting %d notices failed: %r", len(batch), error)
-            status = 0
         except Exception:  # a dead worker would not post any later notice
             LOG.exception("notices: unexpected error in a post")
-            status = 0
-        if connection is not None:
-            connection.close()
-        return None, status
+        finally:
+            if connection is not None:
+                connection.close()
+        return 0
--- a/tests/contracts/notifier.py
+++ b/tests/contracts/notifier.py
@@ -11,6 +11,8 @@
 from mallowlug.core.ports import Notifier
 from tests.world import soon
 
+REPEAT_S = 0.1
+
 
 class NotifierPeer(Protocol):
     """The platform, in the notifier's protocol."""
@@ -18,7 +20,10 @@
     address: Address
 
     def script_replies(self, *replies: str) -> None:
-        """Set the replies to the next posts: ``confirm``, ``fail``, ``reset``, ``hang``; then ``confirm``."""
+        """Set the replies to the next posts: ``confirm``, ``fail``, ``reset``, ``hang``; then ``confirm``.
+
+        ``repeat`` confirms, and does so again after ``REPEAT_S`` on the same connection.
+        """
 
     @property
     def received(self) -> list[tuple[str, str, int]]:
@@ -104,6 +109,20 @@
         await confirmed.all("m1")
         assert sorted(confirmed.refs) == ["m1", "m2"]
 
+    async def test_a_repeated_confirmation_confirms_no_other_notice(
+        self, env: tuple[Notifier, Confirmed, NotifierPeer]
+    ) -> None:
+        """More notices than a notifier has connections, the last of them in a post that hangs."""
+        notifier, confirmed, peer = env
+        refs = [f"m{number}" for number in range(8)]
+        peer.script_replies(*["repeat"] * len(refs), "hang")
+        for ref in refs:
+            notifier.send(Notice(ref, "dead"))
+            await confirmed.all(ref)
+        notifier.send(Notice("last", "dead"))
+        await confirmed.all("last")
+        assert peer.received.count(("last", "dead", 0)) == 2
+
     async def test_pending_notices_follow_an_address_change(
         self, env: tuple[Notifier, Confirmed, NotifierPeer]
     ) -> None:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -18,7 +18,7 @@
 from tests import world
 from tests.contracts.directory import DirectoryContract, ListLog
 from tests.contracts.front import FrontContract, StubCore
-from tests.contracts.notifier import Confirmed, NotifierContract
+from tests.contracts.notifier import REPEAT_S, Confirmed, NotifierContract
 from tests.contracts.partners import KIND, PartnersContract
 from tests.world import HttpServer, Reply, Request, delivered, encode_command, enqueue, silent, soon
 
@@ -159,6 +159,12 @@
         return DiscoveryPeer(server)
 
 
+def confirm_twice(request: Request) -> None:
+    """Confirm a post, and once more ``REPEAT_S`` later."""
+    request.answer(204)
+    asyncio.get_running_loop().call_later(REPEAT_S, request.answer, 204)
+
+
 class TestHttpNotifier(NotifierContract):
     def notifier(self, address: Address, confirmed: Confirmed) -> Notifier:
         return HttpNotifier(address, confirmed, POSIX)
@@ -170,6 +176,7 @@
             server,
             {
                 "confirm": lambda request: request.answer(204),
+                "repeat": confirm_twice,
                 "fail": lambda request: request.answer(503),
                 "reset": Request.reset,
                 "hang": silent,
