--- a/mallowlug/net/http.py
+++ b/mallowlug/net/http.py
@@ -6,9 +6,9 @@
 import itertools
 import socket
 from collections.abc import Callable
-from enum import Enum
 
 from mallowlug.core.model import Address
+from mallowlug.net.attribution import Pending, check_request_may_continue
 from mallowlug.net.responses import CorruptResponseError, ResponseHead, ResponseParser
 from mallowlug.system import System, family_of
 
@@ -19,14 +19,6 @@
 CONNECTION_NUMBERS = itertools.count(1)  # of this process, for log lines
 
 
-class Pending(Enum):
-    """What the server has sent beside the response to the last request."""
-
-    NOTHING = "nothing"
-    DATA = "data"  # that no request asked for
-    END = "end of stream, or a reset"
-
-
 class Connection:
     """A connection whose owner knows exactly how many bytes of its request are not sent yet."""
 
@@ -36,6 +28,7 @@
         # Passed to the loop instead of the socket: looking up an unknown socket formats its name in an
         # exception, which costs two system calls.
         self.fd = sock.fileno()
+        self.requests = 0  # begun on this connection
         self.write_started = False  # whether a byte of the current request was sent
         self._response_deadline_s: float | None = None  # when the current response must be complete
         self._parser = ResponseParser()
@@ -65,22 +58,40 @@
     async def send(self, data: bytes) -> None:
         """Pass all bytes to the kernel; ``unsent`` is exact at any time, also after a cancellation.
 
+        Raises ``UnsolicitedDataError`` or ``ConnectionResetError``, with the last byte unsent, if the server
+        sends anything or closes before it. A connection that is used again must have been checked.
+
         ``loop.sock_sendall`` is not suitable: if cancelled after its last byte it looks incomplete, and a
         call that may have run would be taken for one that never ran.
         """
-        loop, view = asyncio.get_running_loop(), memoryview(data)
+        view = memoryview(data)
         self.unsent, self.write_started = len(view), False
         self._parser.begin_response()
         self._response_deadline_s = None
+        if not self.requests and (pending := self._peek()) is not Pending.NOTHING:
+            check_request_may_continue(pending)
+        self.requests += 1
         while view:
             try:
                 sent = self.sock.send(view)
             except (BlockingIOError, InterruptedError):
-                await self._wait_ready(loop.add_writer, loop.remove_writer)
+                await self._wait_writable()
+                check_request_may_continue(self._peek())
                 continue
             view, self.write_started = view[sent:], True
             self.unsent = len(view)
 
+    async def _wait_writable(self) -> None:
+        """Wait until the socket can be written to, or something is received."""
+        loop, ready = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_writer(self.fd, ready.set)
+        loop.add_reader(self.fd, ready.set)
+        try:
+            await ready.wait()
+        finally:
+            loop.remove_writer(self.fd)
+            loop.remove_reader(self.fd)
+
     async def _wait_ready(
         self, add_watcher: Callable[..., None], remove_watcher: Callable[..., object]
     ) -> None:
@@ -171,7 +182,10 @@
 
     def reusable(self) -> bool:
         """Whether the last call is complete and both sides keep the connection open."""
-        if not (self._parser.done and self._parser.keep_alive and self.no_unsolicited_data()):
+        parser = self._parser
+        if not (parser.done and parser.keep_alive) or parser.has_extra_data:
+            return False
+        if self._peek() is not Pending.NOTHING:
             return False
         self.write_started = False
         return True
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -14,7 +14,8 @@
 from mallowlug.core.model import Call, EndpointList, Part, PartOutcome, ResolvedEndpoint
 from mallowlug.core.ports import PartReleased, PartSettled
 from mallowlug.core.reasons import Event, HostClose, Reasons
-from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers, Pending
+from mallowlug.net.attribution import Pending, UnsolicitedDataError
+from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers
 from mallowlug.net.responses import CorruptResponseError
 from mallowlug.partners.pool import ConnectionPool, PoolLimits
 from mallowlug.partners.verdicts import (
@@ -289,6 +290,8 @@
         try:
             keep_connection = await self._perform(exchange)
             reason = HostClose.NOT_KEPT
+        except UnsolicitedDataError:
+            reason = HostClose.UNSOLICITED
         except CorruptResponseError as error:  # no RESET verdict: the connection held, and the host responded
             LOG.debug("hosts: %s: corrupt response: %s", host, str(error)[:80], extra={"host": host})
             outcome = PartOutcome(Verdict.ERROR)
--- a/mallowlug/partners/pool.py
+++ b/mallowlug/partners/pool.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from mallowlug.core.reasons import HostClose
-from mallowlug.net.http import Connection, Pending
+from mallowlug.net.attribution import Pending
+from mallowlug.net.http import Connection
 
 # Fraction of the hosts' keep-alive time: a connection idle for longer may be closed by the host while a
 # request is being sent.
