--- a/mallowlug/core/reasons.py
+++ b/mallowlug/core/reasons.py
@@ -49,6 +49,7 @@
     POLICY = "the next call opens a fresh one"
     IDLE = "idle too long, or ended by the host"
     UNSOLICITED = "data that no call asked for"
+    DISTRUSTED = "another of its host received data that no call asked for"
     DESCRIPTOR_NEEDED = "its descriptor is needed"
     SHUTTING_DOWN = "the relay ends"
 
--- a/mallowlug/partners/http_calls.py
+++ b/mallowlug/partners/http_calls.py
@@ -14,7 +14,7 @@
 from mallowlug.core.model import Call, EndpointList, Part, PartOutcome, ResolvedEndpoint
 from mallowlug.core.ports import PartReleased, PartSettled
 from mallowlug.core.reasons import Event, HostClose, Reasons
-from mallowlug.net.attribution import Pending, UnsolicitedDataError
+from mallowlug.net.attribution import Pending, ReusePolicy, UnsolicitedDataError
 from mallowlug.net.http import CONNECTION_ERRORS, Connection, Headers
 from mallowlug.net.responses import CorruptResponseError
 from mallowlug.partners.pool import ConnectionPool, PoolLimits
@@ -32,6 +32,7 @@
 LOG = logging.getLogger(__name__)
 SINGLE_TARGET, BATCH_TARGET = "/hook", "/hook/batch"
 MAX_BODY_BYTES = 64 * 1024  # of a response
+UNKNOWN_KIND = Kind("")  # of a host whose kind the settings do not name
 
 
 @dataclass(slots=True, eq=False)
@@ -98,12 +99,13 @@
         released: PartReleased,
         system: System,
         reasons: Reasons | None = None,
+        reuse_policy: ReusePolicy | None = None,
     ) -> None:
         self._now_s, self._system = asyncio.get_running_loop().time, system
         self._kinds = {kind.name: kind for kind in kinds}
         self._connect_timeout_s, self._reasons = connect_timeout_us / 1e6, reasons or Reasons()
         self._on_settled, self._on_released = settled, released
-        self.pool = ConnectionPool(limits, self._close)
+        self.pool = ConnectionPool(limits, self._close, reuse_policy or ReusePolicy())
         self._listed: dict[str, ResolvedEndpoint] = {}
         self._waits: dict[str, float] = {}  # by route: loop time until which no call may be sent
         self._last_answers: dict[Connection, LastAnswer] = {}
@@ -151,16 +153,15 @@
     def _route(self, host: str) -> str:
         """Return the key under which a host's waits apply: its destination, or itself for separate routes."""
         listed = self._listed.get(host)
-        apart = listed is None or self._kind(listed).separate_routes
-        return host if listed is None or apart else f"dest {listed.entry.dest}"
-
-    def _kind(self, listed: ResolvedEndpoint) -> Kind:
-        return self._kinds.get(listed.entry.kind, Kind(listed.entry.kind))
+        if listed is None:
+            return host
+        kind = self._kinds.get(listed.entry.kind, UNKNOWN_KIND)
+        return host if kind.separate_routes else f"dest {listed.entry.dest}"
 
     def batch_size(self, host: str) -> int:
         """Return how many messages a call to the host may carry."""
         listed = self._listed.get(host)
-        return 1 if listed is None else self._kind(listed).batch_size
+        return 1 if listed is None else self._kinds.get(listed.entry.kind, UNKNOWN_KIND).batch_size
 
     def remaining_waits(self) -> dict[str, int]:
         """Return the remaining Retry-After wait in microseconds, by route."""
@@ -397,6 +398,8 @@
             )
         self._last_answers.pop(connection, None)
         connection.close()
+        if reason is HostClose.UNSOLICITED:
+            self.pool.distrust(host)
 
     def _log_unsolicited(self, host: str, connection: Connection) -> None:
         """Log the connection and the outcome before the data: the data may have been that call's answer."""
--- a/mallowlug/partners/pool.py
+++ b/mallowlug/partners/pool.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from mallowlug.core.reasons import HostClose
-from mallowlug.net.attribution import Pending
+from mallowlug.net.attribution import Pending, ReusePolicy
 from mallowlug.net.http import Connection
 
 # Fraction of the hosts' keep-alive time: a connection idle for longer may be closed by the host while a
@@ -32,17 +32,21 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class IdleConnection:
-    """A connection that waits for its next call, and the timer that closes it."""
+    """A connection that waits for its next call, from when on it may carry one, and its closing timer."""
 
     connection: Connection
+    reusable_from_s: float
     timer: asyncio.TimerHandle
 
 
 class ConnectionPool:
-    """Keeps connections until they are taken, time out, are ended by the host or receive data."""
+    """Keeps connections until they are taken, time out, are ended by the host or receive data.
 
-    def __init__(self, limits: PoolLimits, close: CloseConnection) -> None:
-        self._limits, self._close = limits, close
+    A connection is taken only once the reuse policy allows it; the caller opens a new one rather than wait.
+    """
+
+    def __init__(self, limits: PoolLimits, close: CloseConnection, policy: ReusePolicy) -> None:
+        self._limits, self._close, self._policy = limits, close, policy
         self.idle_timeout_s = limits.keepalive_us / 1e6 * IDLE_TIMEOUT_FRACTION
         self._idle: dict[str, list[IdleConnection]] = {}  # by host, the most recently used one last
 
@@ -51,10 +55,15 @@
         return {host: len(idle) for host, idle in self._idle.items() if idle}
 
     def take(self, host: str) -> Connection | None:
-        """Take the most recently used connection on which nothing has arrived."""
-        idle = self._idle.get(host, [])
-        while idle:
-            kept = idle.pop()
+        """Take the most recently used one of the rested connections on which nothing has arrived."""
+        idle = self._idle.get(host)
+        if not idle:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        for at in range(len(idle) - 1, -1, -1):
+            if (kept := idle[at]).reusable_from_s > now_s:
+                continue
+            del idle[at]
             self._stop_watching(kept)
             pending = kept.connection.pending()
             if pending is Pending.NOTHING:
@@ -67,9 +76,12 @@
         if not connection.reusable() or sum(map(len, self._idle.values())) >= self._limits.max_idle:
             return False
         loop = asyncio.get_running_loop()
+        reusable_from_s = self._policy.reusable_from_s(host, loop.time())
+        if reusable_from_s is None:
+            return False
         timer = loop.call_later(self.idle_timeout_s, self._discard, host, connection)
         loop.add_reader(connection.fd, self._discard, host, connection)
-        self._idle.setdefault(host, []).append(IdleConnection(connection, timer))
+        self._idle.setdefault(host, []).append(IdleConnection(connection, reusable_from_s, timer))
         return True
 
     def make_room(self, calls_in_progress: int) -> None:
@@ -81,6 +93,11 @@
             host = min(oldest, key=oldest.__getitem__)
             self._close_kept(host, self._idle[host].pop(0), HostClose.DESCRIPTOR_NEEDED)
 
+    def distrust(self, host: str) -> None:
+        """Reuse no connection to a host that sent unsolicited data, and close the idle ones."""
+        self._policy.note_unsolicited(host, asyncio.get_running_loop().time())
+        self.close_host(host, HostClose.DISTRUSTED)
+
     def close_host(self, host: str, reason: HostClose) -> None:
         """Close the idle connections to a host."""
         for kept in self._idle.pop(host, []):
