--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -116,6 +116,21 @@
     host.stop()
 
 
+@pytest.mark.parametrize("status", [b"204", b"304"])
+async def test_a_body_behind_a_bodiless_status_is_unsolicited(status: bytes) -> None:
+    host = await start_host(silent)
+    calls = HostCalls(host.port, rest_s=0.0)
+    host.script.append(answer_then(b"HTTP/1.1 " + status + b" X\r\nContent-Length: 38\r\n\r\n" + OK))
+    calls.send("m1")
+    assert (await calls.outcome("m1")).verdict is Verdict.ERROR
+    calls.send("m2")
+    server_error(await host.call(1))
+    assert (await calls.outcome("m2")).verdict is Verdict.ERROR
+    assert host.connections == 2
+    calls.hosts.close()
+    host.stop()
+
+
 @pytest.mark.parametrize("extra", UNSOLICITED)
 async def test_a_resting_connection_that_receives_data_is_closed_and_its_host_distrusted(extra: str) -> None:
     host = await start_host()
