--- a/tests/sim/test_guards.py
+++ b/tests/sim/test_guards.py
@@ -102,7 +102,7 @@
     "drains": (change_events(without_drains), SWARM, 7, "drains"),
     "drains by hand": (change_events(without_overrides), STAFF, 1, "drains"),
     "order": (key_order_ignored, SWARM, 1, "order"),
-    "twice": (failed_attempts_never_ran, SWARM, 1, "twice"),
+    "twice": (failed_attempts_never_ran, SWARM, 2, "twice"),
     "lost": (expiry_skipped, SWARM, 1, "lost"),
 }
 KEPT_BY_THE_ADAPTER = ("waits", "drains", "drains by hand")
--- a/tests/sim/test_sweep.py
+++ b/tests/sim/test_sweep.py
@@ -26,13 +26,13 @@
     "written_call_counts_as_never_run",
 )  # fmt: skip
 FOUND_BY_SEED = {
-    "drains_ignored": 7, "key_order_ignored": 1, "torn_tail_off_by_one": 2022, "wall_clock_trusted": 88,
+    "drains_ignored": 7, "key_order_ignored": 1, "torn_tail_off_by_one": 1, "wall_clock_trusted": 88,
     "sync_skipped": 1, "directory_not_synced": 1, "destination_removed_in_use": 5,
-    "clock_not_rewritten": 1583, "refusal_reported_unsaved": 1568, "own_timeout_per_message": 17,
+    "clock_not_rewritten": 1583, "refusal_reported_unsaved": 1, "own_timeout_per_message": 2,
 }  # fmt: skip
 
-# Detected only if keyed messages are held for long: at 45 to 60 messages per second.
-HIGH_RATE = ("clock_not_rewritten",)
+# Detected at 60 messages per second: if keyed messages are held for long, or many calls carry several.
+HIGH_RATE = ("clock_not_rewritten", "own_timeout_per_message")
 # Not detected there if destinations become inactive.
 NO_INACTIVITY = ("clock_not_rewritten", "refusal_reported_unsaved")
 
--- a/tests/sim/test_upgrades.py
+++ b/tests/sim/test_upgrades.py
@@ -63,6 +63,11 @@
     return Scenario.model_validate(SMALL_SCENARIO | {"kind": [kind]})
 
 
+def small_with_adoption() -> Scenario:
+    """The same, with messages that the new process adopts from a spool file."""
+    return small_without_refusals().model_copy(update={"seed": 3})
+
+
 @pytest.mark.parametrize("seed", ONCE_FAILED)
 def test_regression_seeds_keep_all_rules(seed: int) -> None:
     result = run_scenario(swarm(UPGRADE, seed))
@@ -149,7 +154,7 @@
         (lock_always_granted, small, {"twice"}),
         (waits_not_handed_over, waiting, {"waits"}),
         (spool_not_read, small, {"lost"}),
-        (adopted_spool_forgotten, small_without_refusals, {"twice"}),
+        (adopted_spool_forgotten, small_with_adoption, {"twice"}),
         (disabled_hosts_not_read, host_disabled, {"drains"}),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
