--- a/mallowlug/net/attribution.py
+++ b/mallowlug/net/attribution.py
@@ -61,10 +61,11 @@
             return None
         return answered_s + self._rest_s
 
-    def note_unsolicited(self, server: str, now_s: float) -> None:
-        """Note that a server sent data that no request asked for."""
+    def note_unsolicited(self, server: str, now_s: float) -> bool:
+        """Note that a server sent data that no request asked for; return whether none is trusted now."""
         active = {name: until_s for name, until_s in self._distrusted_until_s.items() if until_s > now_s}
         self._distrusted_until_s = active | {server: now_s + DISTRUST_S}
+        return len(self._distrusted_until_s) >= WIDESPREAD_SERVERS
 
     def _distrusts(self, server: str, now_s: float) -> bool:
         active = [name for name, until_s in self._distrusted_until_s.items() if until_s > now_s]
--- a/mallowlug/partners/pool.py
+++ b/mallowlug/partners/pool.py
@@ -69,6 +69,8 @@
             if pending is Pending.NOTHING:
                 return kept.connection
             self._close(host, kept.connection, CLOSE_REASONS[pending])
+            if pending is Pending.DATA:  # the host is distrusted now, and its idle connections are closed
+                break
         return None
 
     def keep(self, host: str, connection: Connection) -> bool:
@@ -94,9 +96,14 @@
             self._close_kept(host, self._idle[host].pop(0), HostClose.DESCRIPTOR_NEEDED)
 
     def distrust(self, host: str) -> None:
-        """Reuse no connection to a host that sent unsolicited data, and close the idle ones."""
-        self._policy.note_unsolicited(host, asyncio.get_running_loop().time())
-        self.close_host(host, HostClose.DISTRUSTED)
+        """Reuse no connection to a host that sent unsolicited data.
+
+        Its idle connections are closed, and those of all hosts where none is trusted any more.
+        """
+        if self._policy.note_unsolicited(host, asyncio.get_running_loop().time()):
+            self.close_all(HostClose.DISTRUSTED)
+        else:
+            self.close_host(host, HostClose.DISTRUSTED)
 
     def close_host(self, host: str, reason: HostClose) -> None:
         """Close the idle connections to a host."""
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from mallowlug.core.model import Call, EndpointList, Part, PartOutcome, ResolvedEndpoint
@@ -42,13 +43,23 @@
         entry = EndpointEntry("h1", 1, "a", "banks", listing)
         self.hosts.apply(EndpointList(1, False, (ResolvedEndpoint(entry, ("127.0.0.1", port)),)))
 
+    def apply_hosts(self, ports: Iterable[int]) -> None:
+        """Apply an endpoint list with hosts ``h0``, ``h1`` and so on at these ports."""
+        rows = tuple(
+            ResolvedEndpoint(EndpointEntry(f"h{at}", at, "a", "banks", Listing.READY), ("127.0.0.1", port))
+            for at, port in enumerate(ports)
+        )
+        self.hosts.apply(EndpointList(2, True, rows))
+
     def _settled(self, _call: Call, part: Part, outcome: PartOutcome) -> None:
         self.outcomes[part.id] = outcome
         self.outcome_received.set()
 
-    def send(self, *refs: str, timeout_us: int = 60_000_000, body: bytes = b"x") -> Exchange:
+    def send(
+        self, *refs: str, timeout_us: int = 60_000_000, body: bytes = b"x", host: str = "h1"
+    ) -> Exchange:
         """Make one call; its default timeout exceeds every test's time limit, so no test passes by it."""
-        call = Call("h1", [Part(ref, 0, "", body, timeout_us) for ref in refs], time.monotonic())
+        call = Call(host, [Part(ref, 0, "", body, timeout_us) for ref in refs], time.monotonic())
         return self.hosts.send(call)
 
     async def outcome(self, ref: str) -> PartOutcome:
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mallowlug.core.model import EndpointList
+from mallowlug.core.reasons import Event, HostClose
 from mallowlug.directory.discovery import DirectoryWatch
 from mallowlug.net.attribution import (
     DISTRUST_S,
@@ -76,8 +77,8 @@
 
 def test_no_connection_is_reused_while_two_servers_send_unsolicited_data() -> None:
     policy = ReusePolicy()
-    policy.note_unsolicited("h1", 100.0)
-    policy.note_unsolicited("h2", 110.0)
+    assert not policy.note_unsolicited("h1", 100.0)
+    assert policy.note_unsolicited("h2", 110.0)
     assert policy.reusable_from_s("h3", 120.0) is None
     assert policy.reusable_from_s("h3", 100.0 + DISTRUST_S) is not None
 
@@ -150,6 +151,48 @@
     host.stop()
 
 
+async def test_idle_connections_of_all_hosts_are_closed_once_two_hosts_send_unsolicited_data() -> None:
+    hosts = [await start_host() for _ in range(3)]
+    calls = HostCalls(hosts[0].port, rest_s=0.0)
+    calls.apply_hosts(host.port for host in hosts)
+    for number, extra in enumerate((b"", OK, OK)):
+        hosts[number].script.append(answer_then(OK, extra))
+        calls.send(f"m{number}", host=f"h{number}")
+        await calls.outcome(f"m{number}")
+    assert calls.hosts.pool.idle_by_host()["h0"] == 1
+    while calls.hosts.pool.idle_by_host():
+        await asyncio.sleep(BEHIND_S)
+    assert calls.hosts._reasons.total(Event.HOST_CLOSE)[HostClose.DISTRUSTED] == 1
+    for host in hosts:
+        host.stop()
+
+
+async def test_a_connection_is_taken_at_most_once_where_its_host_is_found_out_as_it_is_taken() -> None:
+    """Two idle connections, both with unread data: neither is used, and each is closed and counted once."""
+    host = await start_host(silent)
+    calls = HostCalls(host.port, rest_s=0.0)
+    calls.send("m1")
+    calls.send("m2")
+    requests = [await host.call(0), await host.call(1)]
+    for request in requests:
+        request.writer.write(OK)
+    for ref in ("m1", "m2"):
+        await calls.outcome(ref)
+    while len(calls.hosts.exchanges):
+        await asyncio.sleep(0)
+    idle = list(calls.hosts.pool._idle["h1"])
+    for kept in idle:
+        asyncio.get_running_loop().remove_reader(kept.connection.fd)  # as if it was not its turn yet
+    for request in requests:
+        request.writer.write(OK)
+    while any(kept.connection.pending() is Pending.NOTHING for kept in idle):
+        await asyncio.sleep(0.001)
+    assert calls.hosts.pool.take("h1") is None
+    counts = calls.hosts._reasons.total(Event.HOST_CLOSE)
+    assert (counts[HostClose.UNSOLICITED], counts[HostClose.DISTRUSTED], counts[HostClose.IDLE]) == (1, 1, 0)
+    host.stop()
+
+
 async def test_without_a_rest_a_repeated_answer_is_taken_for_the_next_calls() -> None:
     """The defect of report 35a76f: shows that the tests above would see it."""
     host = await start_host(silent)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -10,9 +10,9 @@
 import pytest
 
 from mallowlug.core.descriptors import MIN_SOCKETS, split_descriptors
-from mallowlug.core.model import Call, EndpointList, Part, ResolvedEndpoint
+from mallowlug.core.model import Call, Part
 from mallowlug.partners.pool import PoolLimits
-from mossfront.interface import EndpointEntry, Listing, Verdict
+from mossfront.interface import Verdict
 from tests.calls import HostCalls, start_host
 from tests.world import World, silent
 
@@ -38,11 +38,7 @@
     """Each destination's connection is kept for the next call until its descriptor is needed."""
     hosts = [await start_host() for _ in range(3)]
     calls = HostCalls(hosts[0].port, limits=PoolLimits(15_000_000, 10, max_open=2), rest_s=0.0)
-    rows = [
-        ResolvedEndpoint(EndpointEntry(f"h{n}", n, "a", "banks", Listing.READY), ("127.0.0.1", host.port))
-        for n, host in enumerate(hosts)
-    ]
-    calls.hosts.apply(EndpointList(2, True, tuple(rows)))
+    calls.apply_hosts(host.port for host in hosts)
     for number in (0, 1, 2, 1):
         ref = f"m{number}-{time.monotonic_ns()}"
         calls.hosts.send(Call(f"h{number}", [Part(ref, 0, "", b"x", 60_000_000)], time.monotonic()))
