--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -139,7 +139,8 @@
             pass  # ended by the relay, idle for too long, or the case is over
         finally:
             self.writers.discard(writer)
-            writer.close()
+            with contextlib.suppress(RuntimeError):  # the case is over, and its loop is closed
+                writer.close()
 
     async def serve(self, request: HttpRequest) -> None:
         """Handle one request."""
