Count results of messages in doubt by what the client was told

Change: `relay_undelivered_in_doubt_total{reason="refused"|"failed"}`, a part of the ten-second line, and at level debug a line with the message's id; a given-up message is a typed result in place of a tuple. No decision is changed.

--- a/mallowlug/core/metrics.py
+++ b/mallowlug/core/metrics.py
@@ -23,6 +23,10 @@
     "host_closes_total": ("counter", "Connections to hosts that were closed, by reason."),
     "retries_total": ("counter", "Calls of messages that had one before, by how that one ended."),
     "refusals_total": ("counter", "Messages that were refused or given up, by reason."),
+    "undelivered_in_doubt_total": (
+        "counter",
+        "Messages given up though an attempt may have run, by what the client was told.",
+    ),
     "host_phases": ("gauge", "Listed hosts by what the relay takes them to be."),
     "conf_loaded_total": ("counter", "Configuration files taken at SIGHUP."),
     "conf_invalid_total": ("counter", "Configuration files turned down at SIGHUP."),
--- a/mallowlug/core/reasons.py
+++ b/mallowlug/core/reasons.py
@@ -1,4 +1,4 @@
-"""Counts of closed connections, retries and refusals by reason, and their log lines.
+"""Counts of closed connections, retries, refusals and results in doubt by reason, and their log lines.
 
 Each event is counted where it is decided. At level DEBUG each has its own log line with the message's id or
 the host; at level INFO one line every ten seconds summarizes what has been counted since the last one.
@@ -24,6 +24,7 @@
     HOST_CLOSE = "host_closes"
     RETRY = "retries"
     REFUSAL = "refusals"
+    UNDELIVERED_IN_DOUBT = "undelivered_in_doubt"
 
 
 class ClientClose(StrEnum):
@@ -65,12 +66,20 @@
     SHUTTING_DOWN = "the relay ends"
 
 
+class ResultInDoubt(StrEnum):
+    """What the client was told of an undelivered message of which an attempt may have run."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
 UNKNOWN_OUTCOME = "unknown, of a former process"  # outcome of an attempt recovered by a restart
 REASONS: dict[Event, tuple[str, ...]] = {
     Event.CLIENT_CLOSE: tuple(reason.value for reason in ClientClose),
     Event.HOST_CLOSE: tuple(reason.value for reason in HostClose),
     Event.RETRY: (*(verdict.value for verdict in Verdict), UNKNOWN_OUTCOME),
     Event.REFUSAL: (*(reason.value for reason in RejectReason), *(reason.value for reason in GiveUpReason)),
+    Event.UNDELIVERED_IN_DOUBT: tuple(reason.value for reason in ResultInDoubt),
 }
 
 
--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -35,7 +35,7 @@
     Submission,
 )
 from mallowlug.core.ports import Adapters
-from mallowlug.core.reasons import UNKNOWN_OUTCOME, Event, RejectReason
+from mallowlug.core.reasons import UNKNOWN_OUTCOME, Event, RejectReason, ResultInDoubt
 from mossfront import DecisionEngine
 from mossfront import interface as api
 
@@ -73,6 +73,19 @@
     effect: api.Effect
     attempts: int = 0
     last_outcome: str = UNKNOWN_OUTCOME  # of its last attempt
+    may_have_run: bool = False  # whether an attempt that has ended, or is of a former process, may have run
+
+
+@dataclass(frozen=True, slots=True)
+class UndeliveredResult:
+    """The final result that the engine decided for a message that it gave up.
+
+    ``recoverable``: a restart keeps to it, so a refusal may be told as it is.
+    """
+
+    notice: Notice
+    recoverable: bool
+    may_have_run: bool
 
 
 class RelayCore:
@@ -455,14 +468,17 @@
             self._notifier.send(Notice(message.id, "dead"))
             return
         attempts = 1 + max((a.number for a in message.attempts), default=-1)
-        self._held_messages[message.id] = HeldMessage(submission, message.body, rules.cls.effect, attempts)
+        in_doubt = [attempt for attempt in message.attempts if not attempt.never_ran]
+        self._held_messages[message.id] = HeldMessage(
+            submission, message.body, rules.cls.effect, attempts, may_have_run=bool(in_doubt)
+        )
         self._activate_destination(submission.dest)
         extra_fields: dict[str, Any] = {
             "attempts": attempts,
             "rules": rules,
             "recovered_untried": not attempts,
         }
-        if in_doubt := [a for a in message.attempts if not a.never_ran]:
+        if in_doubt:
             first = min(in_doubt, key=lambda attempt: attempt.at_us)
             # An attempt from the future: the clock was set back between two runs, so its age is unknown.
             age_us = now_us - first.at_us if first.at_us <= now_us else UNKNOWN_AGE_US
@@ -518,6 +534,7 @@
         complete = outcome.complete
         if not complete and (held := self._held_messages.get(part.id)) is not None:
             held.last_outcome = outcome.verdict.value
+            held.may_have_run |= not outcome.verdict.never_ran
         if complete:
             self._complete_message(part.id, outcome.verdict is api.Verdict.OK)
         elif outcome.verdict.never_ran:
@@ -598,16 +615,16 @@
     def _carry_out(self, actions: list[api.Action]) -> None:
         """Execute a step's actions: journal them all, sync once, then start calls and send notices."""
         sends: dict[str, list[api.Send]] = {}
-        notices: list[tuple[Notice, bool]] = []  # and whether a restart recovers it
+        results: list[UndeliveredResult] = []
         for action in actions:
             match action:
                 case api.Send():
                     sends.setdefault(action.host, []).append(action)
                 case api.Refuse():
                     notice = Notice(action.id, "bounced", action.retry_after_us // 1000)
-                    notices += self._record_give_up(notice, action.reason)
+                    results += self._record_give_up(notice, action.reason)
                 case api.Fail():
-                    notices += self._record_give_up(Notice(action.id, "dead"), action.reason)
+                    results += self._record_give_up(Notice(action.id, "dead"), action.reason)
                 case api.CloseIdle():
                     self._partners.close_idle(action.host)
                 case api.Cancel():
@@ -630,19 +647,29 @@
                 case api.Probe():
                     LOG.error("probe requested by the decision engine, but endpoints are not probed")
         calls = [call for host, batch in sends.items() for call in self._build_calls(host, batch)]
-        synced = self._sync_journal() if calls or notices else True
-        # Notices are sent at once and repeated until confirmed, even where the disk does not take them.
-        for notice, recoverable in notices:
-            final_notice = notice if recoverable and synced else Notice(notice.message_id, "dead")
-            if final_notice.result != notice.result:
-                self._journal.replace_end_by_failure(notice.message_id)
-            self._notifier.send(final_notice)
+        synced = self._sync_journal() if calls or results else True
+        for result in results:
+            self._report_undelivered(result, synced)
         for call in calls:
             if synced:
                 self._partners.send(call)
             else:
                 self._settle_not_sent(call)
 
+    def _report_undelivered(self, result: UndeliveredResult, synced: bool) -> None:
+        """Send the notice of a message that was given up; ``synced``: its result would outlast a power loss.
+
+        Notices are sent at once and repeated until confirmed, even where the disk does not take them.
+        """
+        notice, message_id = result.notice, result.notice.message_id
+        if not (result.recoverable and synced) and notice.result != "dead":
+            notice = Notice(message_id, "dead")
+            self._journal.replace_end_by_failure(message_id)
+        if result.may_have_run:
+            told = ResultInDoubt.REFUSED if notice.result == "bounced" else ResultInDoubt.FAILED
+            self._reasons.count(Event.UNDELIVERED_IN_DOUBT, told, message_id=message_id)
+        self._notifier.send(notice)
+
     def _flush_pending(self) -> None:
         """Retry pending writes until the disk takes them, as no later record may come to trigger them."""
         self._flush_timer = None
@@ -667,12 +694,12 @@
             return False
         return True
 
-    def _record_give_up(self, notice: Notice, reason: api.GiveUpReason) -> list[tuple[Notice, bool]]:
-        """Journal the engine's final result and return its notice; none for a message completed already.
+    def _record_give_up(self, notice: Notice, reason: api.GiveUpReason) -> list[UndeliveredResult]:
+        """Journal the engine's final result and return it; none for a message completed already.
 
-        The second value says whether the notice may be sent as it is. Where the disk does not take the
-        result, a restart may try the message again beside the client's retry that a refusal asks for. Then
-        only a failure is reported, which asks for no retry. Safe messages may be repeated anyway.
+        Where the disk does not take the result, a restart may try the message again beside the client's retry
+        that a refusal asks for. Then only a failure is reported, which asks for no retry. Safe messages may
+        be repeated anyway.
         """
         if (held := self._held_messages.pop(notice.message_id, None)) is None:
             return []
@@ -680,7 +707,7 @@
         recoverable = self._journal.record_end(notice.message_id, notice.result, notice.wait_ms)
         self._metrics.count_end(held.submission.cls, "deferred" if notice.result == "bounced" else "errored")
         self._remember(notice.message_id)
-        return [(notice, recoverable or held.effect is api.Effect.SAFE)]
+        return [UndeliveredResult(notice, recoverable or held.effect is api.Effect.SAFE, held.may_have_run)]
 
     def _settle_not_sent(self, call: Call) -> None:
         """Settle all parts of a call that is not sent, as its attempts could not be journaled."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -131,6 +131,7 @@
             ("relay_refusals_total", "", "unknown class"): 1.0,
             ("relay_refusals_total", "", "may have run, and may not be repeated"): 1.0,
             ("relay_refusals_total", "", "no time for a further call"): 1.0,
+            ("relay_undelivered_in_doubt_total", "", "failed"): 1.0,
             ("relay_client_closes_total", "", "ended by the client"): 1.0,
             ("relay_retries_total", "", "error"): 1.0,
             ("relay_retries_total", "", "full"): float(len(calls) - len(set(calls)) - 1),
