--- a/mossfront/backlog.py
+++ b/mossfront/backlog.py
@@ -13,7 +13,8 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Iterator
 
-from mossfront.interface import Effect, MessageClass
+from mossfront.interface import MessageClass
+from mossfront.repeats import required_zone
 from mossfront.state import Message
 
 ScoreFunction = Callable[[Message], float]
@@ -76,17 +77,6 @@
         return lowest_cost, *self.entries[bisect_left(self.entries, (target_us,))]
 
 
-def required_zone(message: Message) -> str | None:
-    """Return the zone that a message is bound to, or None.
-
-    A repeat of an in-doubt message whose key is known per zone is dropped only in the zone of its attempt.
-    """
-    zone_bound = (
-        message.in_doubt_since_us >= 0 and message.cls.effect is Effect.KEYED and message.cls.scope_is_zone
-    )
-    return message.in_doubt_zone if zone_bound else None
-
-
 def add_to_lane(lanes: Lanes, message: Message) -> None:
     """Add a held message to its lane."""
     in_doubt = message.in_doubt_since_us >= 0
--- a/mossfront/engine.py
+++ b/mossfront/engine.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Iterable
 
-from mossfront.backlog import Lane, Lanes, score_breakpoints, required_zone, add_to_lane, remove_from_lane
+from mossfront.backlog import Lane, Lanes, score_breakpoints, add_to_lane, remove_from_lane
 from mossfront.interface import (
     Action,
     Arrival,
@@ -50,6 +50,7 @@
     Verdict,
 )
 from mossfront.outages import OUTAGE_FAILURE_RATIO, OutageTracking
+from mossfront.repeats import expiry_reason, is_client_retry_harmless, key_known_until_us, required_zone
 from mossfront.slow_start import RECENT_SUCCESS_US, Budget, Phase
 from mossfront.state import (
     Call,
@@ -648,15 +649,11 @@
             max(4 * self.settings.round_us, self._latency(message).mean_us / 2)
         )
         return (
-            min(expiry_us, self._key_known_until_us(message))
+            min(expiry_us, key_known_until_us(message, self.settings.round_us))
             if in_doubt and cls.effect is Effect.KEYED
             else expiry_us
         )
 
-    def _key_known_until_us(self, message: Message) -> int:
-        """Return until when endpoints know the key of an in-doubt message, so that they drop a repeat."""
-        return message.in_doubt_since_us + message.cls.window_us - self.settings.round_us
-
     def _settle_attempt(self, event: Outcome) -> None:
         """Settle one attempt: its call, the endpoint's statistics, then the message."""
         message = self.messages.get(event.id)
@@ -898,28 +895,13 @@
             1 if limiter is rate_limiter else max(1, len(self.destinations[endpoint.dest].ready_endpoints()))
         )
 
-    def _expiry_reason(self, message: Message) -> GiveUpReason:
-        """Return why no further call is made for an expired message."""
-        if message.attempts >= message.max_attempts:
-            return GiveUpReason.NO_ATTEMPTS_LEFT
-        if message.in_doubt_since_us < 0 or message.cls.effect is Effect.SAFE:
-            return GiveUpReason.NO_TIME
-        if message.cls.effect is Effect.UNSAFE:
-            return GiveUpReason.NOT_REPEATABLE
-        return (
-            GiveUpReason.KEY_EXPIRED
-            if self._key_known_until_us(message) <= self.now_us
-            else GiveUpReason.NO_TIME
-        )
-
     def _give_up(self, message: Message, reason: GiveUpReason) -> None:
         """Give the final answer: a refusal where the client may safely retry, else a failure."""
-        keyed_anywhere = message.cls.effect is Effect.KEYED and not message.cls.scope_is_zone
-        harmless = message.cls.effect is Effect.SAFE or message.in_doubt_since_us < 0 or keyed_anywhere
         # The same wait for all would bring all clients back at once.
         wait_us = int(
             self.settings.max_retry_after_us * self.settings.advise_retry * self.rng.uniform(0.5, 1.0)
         )
+        harmless = is_client_retry_harmless(message)
         answer = Refuse(message.id, wait_us, reason) if harmless else Fail(message.id, reason)
         self.actions.append(answer)
         self._close_message(message)
@@ -970,7 +952,7 @@
                 if self._expiry_us(message) > self.now_us:
                     self._schedule_expiry(message)
                 else:
-                    self._give_up(message, self._expiry_reason(message))
+                    self._give_up(message, expiry_reason(message, self.now_us, self.settings.round_us))
         for dest in [self.destinations[number] for number in self.destinations_to_check]:
             wait_end_us = (
                 min([e.rate_limiter.retry_after_until_us for e in dest.ready_endpoints()], default=0)
@@ -1090,7 +1072,8 @@
                 start_within_us = 0
                 # Connecting may take long: the call must start while the key of the first attempt is known.
                 if message.cls.effect is Effect.KEYED and message.in_doubt_since_us >= 0:
-                    start_within_us = max(1, self._key_known_until_us(message) - self.now_us)
+                    known_until_us = key_known_until_us(message, self.settings.round_us)
+                    start_within_us = max(1, known_until_us - self.now_us)
                 self.actions.append(Send(message.id, call.endpoint.host, timeout_us, start_within_us))
             call.unsent.clear()
         self.new_calls.clear()
