--- a/mallowlug/rig/judge/duplicates.py
+++ b/mallowlug/rig/judge/duplicates.py
@@ -19,7 +19,10 @@
 
     An attempt is in doubt unless an answer before the next attempt's first byte proved that it was not
     processed. A keyed message may be sent again within its window from the first in-doubt attempt, and only
-    to the same zone if its key is known by zone. Two effects of one id that the endpoints saw count as well.
+    to the same zone if its key is known by zone. It may be refused only if its key is known until its
+    deadline, as the relay that gets the client's retry does not know of the attempts and may hold it until
+    then. Two effects of one id that the endpoints saw count as well, and so do two effects of one key under
+    several accepted ids; what a relay did with an id that its client had given up counts for nothing.
     Where a site allows no second copies, an attempt must have ended before the next begins. The end of its
     connection may be seen later than the next attempt's first byte by the rules' slack, since the two
     travel on separate connections. A call that a link delayed may arrive after its successor, and its
@@ -31,6 +34,8 @@
     def __init__(self, ledger: Ledger) -> None:
         super().__init__(ledger)
         self._effects: dict[str, int] = defaultdict(int)
+        # By key: the first effect that each message with it had, in order of time.
+        self._effects_by_key: dict[str, list[tuple[rec.MessageProcessed, Message]]] = defaultdict(list)
         # Call, message and its attempt, with an earlier attempt that was still open when the call arrived.
         self._parallel_copies: list[tuple[rec.Call, Message, Attempt, Attempt]] = []
 
@@ -66,6 +71,10 @@
             self._parallel_copies += [(call, message, own, a) for a in in_doubt if a.ended_us < 0]
 
     def finish(self) -> None:
+        self._check_parallel_copies()
+        self._check_effects_by_key()
+
+    def _check_parallel_copies(self) -> None:
         slack_us = self.ledger.figures.slack_us
         for call, message, own, earlier in self._parallel_copies:
             abandoned = not own.answered and 0 <= own.ended_us <= call.began + slack_us
@@ -77,6 +86,15 @@
                     "a second copy while another was in flight",
                 )
 
+    def _check_effects_by_key(self) -> None:
+        """Check that no retry, under an id of its own, had an effect that an earlier id had already."""
+        for key, effects in self._effects_by_key.items():
+            counted = [pair for pair in effects if pair[1].accepted_us >= 0 and not pair[1].exempt]
+            if len(counted) > 1:
+                event, message = counted[1]
+                ids = [message.submitted.id for _, message in counted]
+                self.report(event.at, message.submitted.relay, ids, f"key {key} took effect again by a retry")
+
     def _check_processed(self, event: rec.MessageProcessed) -> None:
         message = self.ledger.messages.get(event.id)
         if message is None or message.cls is None or message.cls.effect == "safe" or not event.effect:
@@ -85,6 +103,8 @@
         if message.cls.effect == "keyed" and self.ledger.earliest_send_us(call) < call.began:
             return  # delayed on the link: it may have been sent within the window
         self._effects[event.id] += 1
+        if self._effects[event.id] == 1 and message.submitted.key:
+            self._effects_by_key[message.submitted.key].append((event, message))
         if self._effects[event.id] == 2:
             self.report(event.at, message.submitted.relay, [event.id], "took effect twice")
 
@@ -94,7 +114,15 @@
             return
         self.checked += 1
         in_doubt = [a for a in message.attempts if not a.never_ran()]
-        known_in_all_zones = message.cls.effect == "keyed" and not message.cls.by_zone
-        if in_doubt and not known_in_all_zones:
+        if in_doubt and not self._key_lasts(message, in_doubt):
             ids = [message.submitted.id]
             self.report(at_us, message.submitted.relay, ids, "refused though an attempt may have run")
+
+    @staticmethod
+    def _key_lasts(message: Message, in_doubt: list[Attempt]) -> bool:
+        """Return whether the endpoints of all zones know the message's key until its deadline."""
+        cls, submitted = message.cls, message.submitted
+        if cls is None or cls.effect != "keyed" or cls.by_zone:
+            return False
+        known_until_us = min(attempt.arrived_us for attempt in in_doubt) + cls.window_us
+        return known_until_us >= submitted.at + submitted.left_us
--- a/mallowlug/rig/run/play.py
+++ b/mallowlug/rig/run/play.py
@@ -284,7 +284,8 @@
         for arrival in arrivals:
             await sleep_until(start_s + arrival.at_s)
             door, cls = self.relay_targets[arrival.relay % len(self.relay_targets)], self.classes[arrival.cls]
-            tasks.append(self.spawn(self.clients.run_message(door, arrival, cls)))
+            retry_targets = self.relay_targets if self.scenario.clients.roam else ()
+            tasks.append(self.spawn(self.clients.run_message(door, arrival, cls, retry_targets)))
         longest_s = max(cls.deadline_us for cls in self.classes.values()) / 1e6 + SETTLE_S
         longest_s += self.scenario.relays.back_s + EXTRA_WAIT_S
         loop, pending = asyncio.get_running_loop(), set(tasks)
--- a/mallowlug/rig/world/clients.py
+++ b/mallowlug/rig/world/clients.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -94,8 +94,17 @@
         """The number of messages without a final result."""
         return len(self._results)
 
-    async def run_message(self, relay: RelayTarget, arrival: Arrival, cls: rec.ClassSpec) -> None:
-        """Submit one message, with retries, until its final result."""
+    async def run_message(
+        self,
+        relay: RelayTarget,
+        arrival: Arrival,
+        cls: rec.ClassSpec,
+        retry_targets: Sequence[RelayTarget] = (),
+    ) -> None:
+        """Submit one message, with retries, until its final result.
+
+        ``retry_targets``: the relays that a retry may go to; empty: ``relay`` alone.
+        """
         start_us, first_id, key = self._writer.now, "", ""
         if cls.effect == "keyed":
             key = f"{self._rng.getrandbits(64):016x}"
@@ -129,6 +138,8 @@
                     return
                 wait_us = notice.wait_us
             await asyncio.sleep(self._retry_delay_s(wait_us, resubmitted))
+            if retry_targets:
+                relay = self._rng.choice(retry_targets)
 
     def _retry_delay_s(self, wait_us: int, resubmitted: bool) -> float:
         if resubmitted:
--- a/mallowlug/rig/world/scenario.py
+++ b/mallowlug/rig/world/scenario.py
@@ -98,6 +98,7 @@
     backoff_s: Range = (0.5, 1.4)
     honour: Share = 0.8  # share of Retry-After waits that clients honour
     marks: bool = False  # whether retries are marked as such
+    roam: bool = False  # whether a retry goes to any relay, not only to the one that had the message first
     answer_s: float = Field(default=0.4, gt=0)
 
 
--- a/tests/rig/story.py
+++ b/tests/rig/story.py
@@ -10,6 +10,7 @@
 CLASSES = [
     rec.ClassSpec("keyed", "keyed", 4 * SECOND, 12 * SECOND, 1.0, 0.4, 25 * SECOND, by_zone=True),
     rec.ClassSpec("anywhere", "keyed", 4 * SECOND, 12 * SECOND, 1.0, 0.4, 2 * SECOND),
+    rec.ClassSpec("lasting", "keyed", 4 * SECOND, 12 * SECOND, 1.0, 0.4, 25 * SECOND),
     rec.ClassSpec("safe", "safe", 3 * SECOND, 12 * SECOND, 3.0, 0.5),
     rec.ClassSpec("unsafe", "unsafe", 4 * SECOND, 12 * SECOND),
     rec.ClassSpec("line", "safe", 4 * SECOND, 12 * SECOND, in_order=True),
--- a/tests/rig/test_rules.py
+++ b/tests/rig/test_rules.py
@@ -54,6 +54,14 @@
     return story.call(at, "m", host=host)
 
 
+def key_effects(first_key: str, retry_key: str, first_answer: str = "taken") -> Story:
+    """A message and, 3 s later, another one with that key or another; both take effect."""
+    story = Story().ask(0, "m", "anywhere", said=first_answer, key=first_key).call(5, "m", end="error")
+    story.add(rec.MessageProcessed(9 * MS, 1, "a1", "m", True)).notice(100, "m")
+    story.ask(3000, "r", "anywhere", key=retry_key).call(3005, "r")
+    return story.add(rec.MessageProcessed(3009 * MS, 2, "a1", "r", True))
+
+
 def on_one_connection(second_at: int, first: str = "delivered") -> Story:
     """Two calls on one connection, the first one from 5 to 55 ms, the second one from ``second_at`` ms on."""
     story = Story().ask(0, "m", "unsafe").ask(1, "o", "unsafe").call(5, "m", end=first)
@@ -98,6 +106,9 @@
         "keyed past its window": lambda: keyed_retry(25_100, "gone"),
         "keyed in another zone": lambda: keyed_retry(100, "gone", "b1"),
         "keyed after an error in another zone": lambda: keyed_retry(100, "error", "b1"),
+        "keyed anywhere refused though its key is forgotten before its deadline": lambda: Story()
+        .ask(0, "m", "anywhere").call(5, "m", end="error").notice(100, "m", "bounced"),
+        "a retry's effect beside the first one's": lambda: key_effects("k", "k"),
         "unsafe refused though it may have run": lambda: Story()
         .ask(0, "m", "unsafe").call(5, "m", end="error").notice(100, "m", "bounced"),
         "a second copy that is abandoned only later": lambda: Story(may_duplicate=False)
@@ -257,8 +268,16 @@
     "unsafe after a refusal": lambda: Story()
     .ask(0, "m", "unsafe").call(5, "m", end="refused", took=10).call(100, "m"),
     "keyed in its window and zone": lambda: keyed_retry(24_900, "gone", "a2"),
-    "keyed anywhere refused": lambda: Story()
-    .ask(0, "m", "anywhere").call(5, "m", end="error").notice(100, "m", "bounced"),
+    "keyed anywhere refused, its key known until its deadline": lambda: Story()
+    .ask(0, "m", "lasting").call(5, "m", end="error").notice(100, "m", "bounced"),
+    "keyed anywhere refused with less time left than its key is known": lambda: Story()
+    .ask(0, "m", "anywhere", left_us=1900 * MS).call(5, "m", end="error").notice(100, "m", "bounced"),
+    "keyed anywhere refused, and surely never ran": lambda: Story()
+    .ask(0, "m", "anywhere").call(5, "m", end="refused").notice(100, "m", "bounced"),
+    "one effect of each of two keys": lambda: key_effects("k", "another"),
+    "an effect under an id that its client gave up, and one by its retry": lambda: key_effects(
+        "k", "k", first_answer="silent"
+    ),
     "a call and its end that a link delayed until after the next call": lambda: Story(may_duplicate=False)
     .ask(0, "m").call(5, "m", took=500).call(100, "m", end="gone", took=1),
     "a second copy of a safe one": lambda: Story()
