--- a/tests/sim/test_retried_keys.py
+++ b/tests/sim/test_retried_keys.py
@@ -14,6 +14,7 @@
 from tests.world import ROOT
 
 SCENARIO = ROOT / "scenarios" / "retried-keys.toml"
+UNTRIED_SEED = 238  # all links to hosts silent around a kill: endpoints are met with the care of an outage
 FOUND_BY = (1, 9, 12, 21)  # on the faulty release a key took effect a second time by a retry
 
 
@@ -40,3 +41,8 @@
     details = " ".join(str(breach) for breach in result.breaches)
     assert "refused though an attempt may have run" in details
     assert "took effect again by a retry" in details
+
+
+def test_recovered_messages_are_attempted_behind_silent_links() -> None:
+    result = sweep.run_seed(scenario.load(SCENARIO), UNTRIED_SEED)
+    assert result.breaches == ()
