--- a/mallowlug/core/relay.py
+++ b/mallowlug/core/relay.py
@@ -18,7 +18,7 @@
 from mallowlug.core.clock import Clock
 from mallowlug.core.disabled_hosts import DisabledHosts
 from mallowlug.core.handover import EndpointRow, HandoverState
-from mallowlug.core.journal import Attempt, Journal, JournalFullError, RecoveredMessage, StoredOutage
+from mallowlug.core.journal import Journal, JournalFullError
 from mallowlug.core.listings import Listings
 from mallowlug.core.metrics import Gauges, Metrics
 from mallowlug.core.model import (
@@ -36,6 +36,7 @@
 )
 from mallowlug.core.ports import Adapters
 from mallowlug.core.reasons import UNKNOWN_OUTCOME, Event, RejectReason, ResultInDoubt
+from mallowlug.core.recovered_state import Attempt, RecoveredMessage, StoredOutage
 from mossfront import DecisionEngine
 from mossfront import interface as api
 
--- a/mallowlug/upgrade/spool.py
+++ b/mallowlug/upgrade/spool.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from mallowlug.core.journal import encode_record, read_record
 from mallowlug.core.model import Accepted, Answer, Failed, Refused, Submission
 from mallowlug.core.reasons import RejectReason
+from mallowlug.core.record_format import encode_record, read_record
 from mallowlug.core.relay import SUBMISSION_FIELDS, RelayCore
 from mallowlug.system import APPEND, Disk
 from mallowlug.upgrade.locks import Lock
--- a/tests/sim/worlds.py
+++ b/tests/sim/worlds.py
@@ -11,6 +11,7 @@
 
 from mallowlug.core.clock import Clock
 from mallowlug.core.journal import Journal
+from mallowlug.core.recovered_state import RecoveredState
 from mallowlug.core.relay import RelayCore
 from mallowlug.directory import discovery
 from mallowlug.ends.notices import HttpNotifier
@@ -98,23 +99,23 @@
     compact = Journal._compact
 
     def compacting(self: Journal) -> None:
-        newest = list(self._live_records)[-1:]
-        kept = {ref: self._live_records.pop(ref) for ref in newest}
+        records = self._live.by_message
+        kept = {ref: records.pop(ref) for ref in list(records)[-1:]}
         compact(self)
-        self._live_records.update(kept)
+        records.update(kept)
 
     monkey.setattr(Journal, "_compact", compacting)
 
 
 def attempts_not_recovered(monkey: MonkeyPatch) -> None:
     """A restart does not recover which attempts were made."""
-    recover = Journal._recover
+    apply = RecoveredState.apply
 
-    def recovering(self: Journal, head: list[Any], body: bytes) -> None:
+    def applying(self: RecoveredState, head: list[Any], body: bytes) -> None:
         if head[0] != "try":
-            recover(self, head, body)
+            apply(self, head, body)
 
-    monkey.setattr(Journal, "_recover", recovering)
+    monkey.setattr(RecoveredState, "apply", applying)
 
 
 def window_ignored(monkey: MonkeyPatch) -> None:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from mallowlug.core.journal import Journal
+from mallowlug.core.live_records import LiveRecords
 from mallowlug.rig.judge import record as rec
 from mallowlug.rig.sim.ground import simulate
 from mallowlug.rig.world import scenario
@@ -82,13 +82,13 @@
 
 def test_delivered_message_has_three_records(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Accepted, attempted, completed: each is one write to the disk."""
-    kinds, real = Counter[str](), Journal._track_record
+    kinds, real = Counter[str](), LiveRecords.add
 
-    def kept(self: Journal, head: list[Any], raw: bytes) -> None:
+    def kept(self: LiveRecords, head: list[Any], raw: bytes) -> None:
         kinds[head[0]] += 1
         real(self, head, raw)
 
-    monkeypatch.setattr(Journal, "_track_record", kept)
+    monkeypatch.setattr(LiveRecords, "add", kept)
     world = scenario.load(ROOT / "scenarios" / "calm.toml").model_copy(update={"length_s": 3.0})
     done = simulate(world, tmp_path)
     messages = sum(isinstance(event, rec.MessageSubmitted) for event in rec.read(done.path).events)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,14 +11,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from mallowlug.core.journal import (
-    COMPACTION_SLACK_BYTES,
-    Attempt,
-    Journal,
-    JournalFullError,
-    StoredOutage,
-    size_in_blocks,
-)
+from mallowlug.core.journal import COMPACTION_SLACK_BYTES, Journal, JournalFullError
+from mallowlug.core.record_format import size_in_blocks
+from mallowlug.core.recovered_state import Attempt, StoredOutage
 from mallowlug.system import POSIX, PosixDisk
 from mossfront.interface import OutageRecordKind
 
--- a/tests/test_listings.py
+++ b/tests/test_listings.py
@@ -13,11 +13,12 @@
 
 from mallowlug.core.clock import Clock
 from mallowlug.core.disabled_hosts import DisabledHosts
-from mallowlug.core.journal import Journal, StoredOutage
+from mallowlug.core.journal import Journal
 from mallowlug.core.listings import Listings
 from mallowlug.core.metrics import Metrics
 from mallowlug.core.model import EndpointList, ResolvedEndpoint
 from mallowlug.core.ports import Adapters
+from mallowlug.core.recovered_state import StoredOutage
 from mallowlug.core.relay import RelayCore
 from mallowlug.directory.discovery import SLICE_HOSTS, parse_in_slices
 from mallowlug.system import POSIX
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mallowlug.core.journal import Attempt, Journal, JournalFullError
+from mallowlug.core.journal import Journal, JournalFullError
+from mallowlug.core.recovered_state import Attempt
 from mallowlug.rig.sim.disk import SimDisk
 from mallowlug.rig.sim.net import os_error
 
