--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 from pathlib import Path
@@ -279,6 +280,34 @@
     assert reopen(tmp_path).outages == {"h1": due}
 
 
+def test_outage_records_leave_the_space_of_open_messages(in_memory: Path) -> None:
+    """Outages of some hundred endpoints use it up: no attempt is written, nor anything when all has ended."""
+    disk, rng = 400_000, random.Random(0)
+    journal, left = Journal(in_memory, disk, POSIX.disk), dict[str, int]()
+    journal.max_attempts = 6
+    for number in range(3000):
+        ref = f"{number:016x}"
+        with contextlib.suppress(JournalFullError):
+            journal.accept(ref, {"id": ref, "dest": 1, "deadline_us": 1 << 50}, bytes(rng.randrange(600)))
+            left[ref] = 0
+        if rng.random() < 0.5:
+            journal.record_outage(f"s-{rng.randrange(400):08x}", StoredOutage(1 << 50))
+        for open_ref in rng.sample(sorted(left), min(len(left), rng.randrange(4))):
+            if left[open_ref] < journal.max_attempts and rng.random() < 0.8:
+                attempt = Attempt(left[open_ref], "s-5be2a07c9", "floor-2", 1 << 50)
+                journal.record_attempts([(open_ref, attempt)])
+                left[open_ref] += 1
+                journal.record_never_ran(open_ref, attempt.number)
+            elif rng.random() < 0.6:
+                assert journal.record_end(open_ref, "bounced", 2000)
+                journal.record_completed(open_ref)
+                del left[open_ref]
+    for open_ref in left:
+        assert journal.record_end(open_ref, "bounced", 2000)
+        journal.record_completed(open_ref)
+    accept(journal, "again")
+
+
 def test_outage_records_of_older_versions_are_read(tmp_path: Path) -> None:
     journal = Journal(tmp_path, DISK_BYTES, POSIX.disk)
     journal._append_or_queue(["care", "h1", 77])
