--- a/mossfront/engine.py
+++ b/mossfront/engine.py
@@ -88,6 +88,8 @@
 INITIAL_EQUAL_SHARES, MIN_EQUAL_SHARES, MAX_EQUAL_SHARES = 1.0, 0.5, 2.0
 # Initial equal shares, times the square root of the group size, where the share left is not reported.
 UNREPORTED_EQUAL_SHARES = 2.0
+# Range of an announced limit, in calls/s: from one call in eleven days to more than any endpoint serves.
+MIN_ANNOUNCED_RATE_PER_S, MAX_ANNOUNCED_RATE_PER_S = 1e-6, 1e9
 # Share left of a limit at which the send rate stays; gain in 1/s; longest interval between reports, us.
 TARGET_SHARE_LEFT, SHARE_LEFT_GAIN_PER_S, MAX_REPORT_INTERVAL_US = 0.5, 2.0, 1_500_000
 # Factors of the trusted idle age: when a reused connection is lost; at the end of any call.
@@ -509,11 +511,11 @@
     ) -> None:
         """Bound the send rate by a limit announced for all relays, and steer it by the share left of it.
 
-        ``rate`` is in calls/s. All relays that share the limit receive the same reports. Each changes its
-        send rate from its equal share by the same factor for the same report, so that their sum settles
-        where some of the limit is left.
+        ``rate`` is in calls/s; one out of range is taken for none. All relays that share the limit receive
+        the same reports. Each changes its send rate from its equal share by the same factor for the same
+        report, so that their sum settles where some of the limit is left.
         """
-        if not (rate and 0 < rate < math.inf):
+        if not (rate and MIN_ANNOUNCED_RATE_PER_S <= rate <= MAX_ANNOUNCED_RATE_PER_S):
             if not limiter.announced_rate:  # no limit announced: there may be none
                 limiter.send_rate = self._send_rate(limiter) * UNLIMITED_RATE_FACTOR
             return
