Decisions: a call that took no time does not end the relay where slots are short

It needs a call that is answered in under 1 us. Cause: where slots are short a message's score is divided by the expected time in a slot, which could be 0. Change: that time is 1 us at least. Found before: test_a_call_that_took_no_time_does_not_end_the_decisions, ZeroDivisionError. It passes now.

--- a/mossfront/engine.py
+++ b/mossfront/engine.py
@@ -88,6 +88,7 @@
 INITIAL_EQUAL_SHARES, MIN_EQUAL_SHARES, MAX_EQUAL_SHARES = 1.0, 0.5, 2.0
 # Initial equal shares, times the square root of the group size, where the share left is not reported.
 UNREPORTED_EQUAL_SHARES = 2.0
+MIN_SLOT_US = 1.0  # shortest expected time of a call in its slot, in us
 # Range of an announced limit, in calls/s: from one call in eleven days to more than any endpoint serves.
 MIN_ANNOUNCED_RATE_PER_S, MAX_ANNOUNCED_RATE_PER_S = 1e-6, 1e9
 # Share left of a limit at which the send rate stays; gain in 1/s; longest interval between reports, us.
@@ -1044,9 +1045,10 @@
                     attempts_used = message.attempts / message.max_attempts
                     risk = has_failures * (REPEAT_RISK[message.cls.effect] + attempts_used)
                     if (slot_us := slots_us.get(message.cls.name)) is None:
-                        slot_us = (
-                            min(self._latency(message, e).mean_us for e in available) if slots_short else 1.0
-                        )
+                        slot_us = MIN_SLOT_US
+                        if slots_short:
+                            fastest_us = min(self._latency(message, e).mean_us for e in available)
+                            slot_us = max(slot_us, fastest_us)
                         slots_us[message.cls.name] = slot_us
                     self._queue_best(queue, lane, (not message.recovered_untried, risk), slot_us)
         new_calls_by_host: dict[str, Call] = {}
--- a/tests/test_reported_figures.py
+++ b/tests/test_reported_figures.py
@@ -58,6 +58,17 @@
         play(limit_per_s, share_left, rate_hint)
 
 
+def test_a_call_that_took_no_time_does_not_end_the_decisions() -> None:
+    """The expected time in a slot divides a message's score where slots are short."""
+    engine = DecisionEngine(support.settings(max_calls=4), 1)
+    hosts = endpoint_update(*(entry(f"h{dest}", dest=dest) for dest in range(1, 5)))
+    [first] = sends(engine.step(0, [hosts, arrival("m0", KEYED)]))
+    engine.step(SECOND, [attempt_outcome(first, elapsed_us=0)])
+    for dest in range(1, 5):  # from the third call on slots are short
+        engine.step((1 + dest) * SECOND, [arrival(f"m{dest}", KEYED, dest=dest)])
+    assert engine.calls_in_flight == 4
+
+
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(limit_per_s=FIGURES, share_left=st.one_of(st.none(), FIGURES), rate_hint=FIGURES)
 def test_no_figure_ends_the_decisions(limit_per_s: float, share_left: float | None, rate_hint: float) -> None:
