Settings: a class's times are checked one by one, and aim_us 0 is turned down

Cause: aim_us had 0 as its least value; the error named deadline_us, whichever of the three times was wrong. Change: aim_us and deadline_us are 1 at least, window_us 0, each error with class, field and bound. Found before: test_invalid_times_of_a_class_name_class_and_field, 3 of 3 failed (aim_us 0 was not turned down; the wrong field was named). They pass now, with 117 tests of settings, reload, rules, sequences, groups, cost and the adapter.

--- a/mossfront/interface.py
+++ b/mossfront/interface.py
@@ -60,7 +60,7 @@
 
     name: str
     effect: Effect
-    aim_us: int  # target time for delivery
+    aim_us: int  # target time for delivery, at least 1
     deadline_us: int  # time until which the final answer is due
     worth: float = 1.0  # value of a delivery by the target time
     late_worth: float = 0.0  # value of a delivery at the deadline
@@ -159,8 +159,9 @@
         for cls in self.classes:
             if not isinstance(cls.effect, Effect):
                 raise ValueError(f"classes.{cls.name}.effect: unknown effect {cls.effect!r}")
-            if cls.aim_us < 0 or cls.deadline_us < 1 or cls.window_us < 0:
-                raise ValueError(f"classes.{cls.name}.deadline_us: times must not be negative")
+            for name, least_us in (("aim_us", 1), ("deadline_us", 1), ("window_us", 0)):
+                if getattr(cls, name) < least_us:
+                    raise ValueError(f"classes.{cls.name}.{name}: must be at least {least_us}")
         for kind in self.kinds:
             if kind.batch_size < 1:
                 raise ValueError(f"kinds.{kind.name}.batch_size: must be at least 1")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -49,6 +49,13 @@
         settings(**{field: value})
 
 
+@pytest.mark.parametrize(("field", "value"), [("aim_us", 0), ("deadline_us", 0), ("window_us", -1)])
+def test_invalid_times_of_a_class_name_class_and_field(field: str, value: int) -> None:
+    """A class with a target time of 0 was accepted; its calls timed out at once."""
+    with pytest.raises(ValueError, match=rf"classes\.{SAFE.name}\.{field}: must be at least"):
+        settings(classes=(replace(SAFE, **{field: value}),))  # type: ignore[arg-type]
+
+
 def test_a_class_with_an_unknown_effect_is_rejected() -> None:
     with pytest.raises(ValueError, match="effect"):
         settings(classes=(replace(SAFE, effect="sometimes"),))  # type: ignore[arg-type]
