A signal that reaches a relay during its start is held back until it can be handled

Cause: SIGHUP was ignored behind the imports only, and then until the handler was set, also behind the reading of the file, so that a change signalled there was lost. Change: the first statement of __main__ blocks SIGHUP, SIGTERM and SIGINT (start_signals.py); they are released behind the handlers. With SIGTERM or SIGINT pending the relay ends with code 0, nothing opened. Other commands than `run` release the signals at once.

--- a/mallowlug/__main__.py
+++ b/mallowlug/__main__.py
@@ -4,9 +4,12 @@
 
 import sys
 
+from mallowlug import start_signals
+
 
 def main() -> int:
     """Run the relay where there are no arguments, without importing the command line."""
+    start_signals.hold()
     if len(sys.argv) > 1:
         from mallowlug.cli.main import main as command  # noqa: PLC0415
 
--- a/mallowlug/cli/main.py
+++ b/mallowlug/cli/main.py
@@ -13,6 +13,8 @@
 import click
 import click.shell_completion
 
+from mallowlug import start_signals
+
 FILE = click.Path(path_type=Path)
 # Command groups that are imported on use; most need additional libraries.
 LAZY_GROUPS = {"fleet": "mallowlug.cli.fleet", "rig": "mallowlug.rig.cli", "sim": "mallowlug.rig.sim_cli"}
@@ -59,8 +61,11 @@
 
 @click.group(cls=LazyGroups, no_args_is_help=False)
 @click.version_option(package_name="mallowlug")
-def root() -> None:
+@click.pass_context
+def root(context: click.Context) -> None:
     """A relay for parking-payment messages: one final answer for each, by six rules."""
+    if context.invoked_subcommand != "run":
+        start_signals.release()
 
 
 @root.command("check")
--- a/mallowlug/cli/run.py
+++ b/mallowlug/cli/run.py
@@ -5,11 +5,10 @@
 import asyncio
 import gc
 import logging
-import signal
 import sys
 from pathlib import Path
 
-from mallowlug import config
+from mallowlug import config, start_signals
 from mallowlug.compose import serve
 from mallowlug.system import POSIX
 
@@ -18,8 +17,7 @@
 
 def run(operator: Path | None = None) -> int:
     """Read the configuration and serve; return the exit code, 2 if the configuration is unusable."""
-    # Until the handler is installed a SIGHUP needs no action: the file is being read anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    start_signals.hold()
     logging.basicConfig(
         level=logging.INFO,
         stream=sys.stderr,
--- a/mallowlug/compose.py
+++ b/mallowlug/compose.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-from mallowlug import config
+from mallowlug import config, start_signals
 from mallowlug.core.clock import create_clock
 from mallowlug.core.descriptors import DescriptorShares, split_descriptors
 from mallowlug.core.disabled_hosts import DisabledHosts
@@ -182,10 +182,13 @@
 
     async def run(self) -> int:
         """Start, serve and shut down; return the exit code."""
+        if start_signals.termination_requested():
+            return 0  # nothing is open yet, and nothing was taken on
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._terminated.set)
         # Installed until the process ends, also during shutdown: SIGHUP without a handler would kill it.
         self._loop.add_signal_handler(signal.SIGHUP, self.handle_sighup)
+        start_signals.release()
         console = await self._open_console()
         self._metrics.reasons.start()
         try:
